--- a/rules/rules.go
+++ b/rules/rules.go
@@ -51,7 +51,7 @@
 	duty         float64       // part of its time in which it uses the link
 	busy         float64       // transfers at the node when it was sent
 	out, ran     bool          // still out; may have run
-	via          bool          // counted at the origin's gate
+	via          float64       // counted at the origin's gate: the part of its time it may wait for the origin
 	nudged       bool          // found overdue already
 	filled       bool          // predicted to need a fill
 }
@@ -440,9 +440,12 @@
 	}
 	l := leg{node: n, source: src, sent: r.now, out: true, ran: true, busy: r.nodes[n].pipe.busy}
 	l.expect, l.duty, l.filled = r.predict(v, n, src)
-	l.via = !t.Write && how&HowHoldsOnly == 0 && src != n && r.nodes[src].role != roleCache
-	if l.via {
-		r.gate.out += r.viaPart(src)
+	if how&HowHoldsOnly == 0 && src != n && r.nodes[src].role != roleCache && !t.Write {
+		l.via = 1 - l.duty
+		if src != r.origin {
+			l.via *= r.gate.via
+		}
+		r.gate.out += l.via
 	}
 	r.nodes[n].pipe.busy += l.duty
 	if l.filled {
@@ -572,9 +575,7 @@
 	if l.filled {
 		r.inlet.busy -= l.duty
 	}
-	if l.via {
-		r.gate.out -= r.viaPart(l.source)
-	}
+	r.gate.out -= l.via
 	switch e.Outcome {
 	case Full, Unconnected, Moot, Missed:
 		l.ran = false
@@ -647,11 +648,13 @@
 			r.rows[v.tariff].sending.add(took, 0.02)
 		}
 		busy := (l.busy + n.pipe.busy + 2*l.duty) / 2
-		if v.sending >= 20*ms {
+		if v.sending >= 100*ms {
 			if hit {
 				n.pipe.learn(float64(took)/float64(v.sending), busy)
 			} else if e.Note == NoteFilled || e.Note == NoteViaOrigin {
-				r.inlet.learn(float64(took-e.Waited)/float64(v.sending), (l.busy+r.inlet.busy+2*l.duty)/2)
+				if s := float64(took-e.Waited) / float64(v.sending); s < 1.25 || s > 1.5*n.pipe.stretch() {
+					r.inlet.learn(s, r.inlet.busy+l.duty)
+				}
 			}
 		}
 		if s := l.source; s != l.node && (e.Note == NoteFilled || e.Note == NoteViaOrigin) {
@@ -949,17 +952,18 @@
 	return max(1, (p.busy+1)/p.room)
 }
 
-// learn takes the stretch of a transfer and how many ran beside it. The pace of a tenth forgets in some ten
-// transfers, about a second of a busy link.
+// learn takes the stretch of a transfer and how many ran beside it. A transfer at full pace shows that more
+// fit than ran; a stretched one how many did. The pace of a tenth forgets in some ten transfers.
 func (p *pipe) learn(stretch, busy float64) {
-	if stretch > 1.2 {
-		seen := max(0.5, busy/stretch)
-		if p.room <= 0 {
-			p.room = seen
+	switch {
+	case stretch < 1.25:
+		if p.room > 0 && busy+1 > p.room*0.7 {
+			p.room += 0.1 * max(1, busy+1-p.room)
 		}
-		p.room += (seen - p.room) / 10
-	} else if busy > p.room {
-		p.room += (busy - p.room) / 10
+	case p.room <= 0:
+		p.room = busy / stretch * 1.5
+	default:
+		p.room += (max(1, busy/stretch) - p.room) / 10
 	}
 }
 
@@ -994,19 +998,14 @@
 	return r.now+expect <= v.due
 }
 
-// viaPart is how much a leg to the source counts at the origin's gate.
-func (r *Router) viaPart(src int32) float64 {
-	return 1
-}
-
 // gate limits how many fills that may reach the origin are out at once. It closes when the origin keeps
-// views waiting for half their due time, or fails, and opens again with each answer in good time. Guards
+// views waiting for half their due time and three times its best, or fails, and opens again with each answer in good time. Guards
 // against a slow, crowded or stopped origin, and against pushing it over; also holds back fills while many
 // caches are empty. It hurts when the window is shut by a few slow answers: then views are turned back that
 // the origin could have served.
 type gate struct {
 	window, out float64
-	wait        time.Duration // usual time to the first byte by way of the origin
+	wait, base  time.Duration // usual and shortest time to the first byte by way of the origin
 	via         float64
 	cut         time.Duration
 }
@@ -1021,10 +1020,11 @@
 
 func (g *gate) learn(wait, due, now time.Duration) {
 	if g.wait == 0 {
-		g.wait = wait
+		g.wait, g.base = wait, wait
 	}
 	g.wait += (wait - g.wait) / 8
-	if wait > due/2 {
+	g.base = min(g.base+g.base/200, wait)
+	if wait > due/2 && wait > 3*g.base {
 		g.fail(now)
 	} else if g.window < gateStart {
 		g.window += 0.5
