--- a/rules/rules.go
+++ b/rules/rules.go
@@ -9,6 +9,7 @@
 // health, pipes, rings and the list.
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -27,7 +28,7 @@
 // none stands for no node, no view.
 const none = int32(-1)
 
-// node is what the router knows of a cache, a parent or the origin.
+// node is what the router knows of a cache of its location, a parent or the origin.
 type node struct {
 	id      NodeID
 	role    role
@@ -40,55 +41,54 @@
 	pipe    pipe // its link out, as far as this router's transfers show it
 	health  health
 	heard   time.Duration // last sign of life
-	wait    time.Duration // usual time to the first byte of a fill from here, when it holds the object
-	bucket  bucket        // what it may be sent while cold
+	full    time.Duration // until then it has no place for a fill
+	wait    time.Duration // usual time to the first byte of a fill that it holds
+	carries rate          // sending time a second that it has answered in
+	spent   rate          // sending time a second that it was sent lately
+	load    float64       // its last report of how busy it is
+	seen    int           // last walk of a ring that met it
 }
 
 type leg struct {
 	node, source int32
-	sent         time.Duration
-	expect       time.Duration // predicted time to its end
+	sent, expect time.Duration // expect: predicted time to its end
 	duty         float64       // part of its time in which it uses the link
-	busy         float64       // transfers at the node when it was sent
+	gate         float64       // part of its time in which it may wait for the origin
 	out, ran     bool          // still out; may have run
-	via          float64       // counted at the origin's gate: the part of its time it may wait for the origin
 	nudged       bool          // found overdue already
 	filled       bool          // predicted to need a fill
 }
 
 // view is a view in hand, or one whose last legs have yet to end.
 type view struct {
-	id           ViewID
-	tariff       TariffID
-	tenant       TenantID
-	object       ObjectID
-	group        GroupID
-	hash         uint64
-	born, end    time.Duration // end: the client gives up
-	due          time.Duration
-	sending      time.Duration // to send it at full pace
-	told         bool          // the size was told
-	legs         [maxLegs]leg
-	n            int
-	outs         int
-	stage        stage
-	open         bool
-	streaming    bool
-	cache        int32 // the cache whose turn it is
-	tried        uint64
-	sources      uint64
-	ranAt        time.Duration
-	ranNode      int32
-	lastNodeFail bool
+	id        ViewID
+	tariff    TariffID
+	object    ObjectID
+	group     GroupID
+	hash      uint64
+	end, due  time.Duration // end: the client gives up
+	sending   time.Duration // to send it at full pace
+	again     time.Duration // when a write is tried again, 0: not
+	sized     bool          // the size was told
+	spare     bool          // over its tenant's allowance
+	open      bool
+	streaming bool
+	stage     stage
+	cache     int32 // the cache whose turn it is
+	legs      [maxLegs]leg
+	n, outs   int
 }
 
 // maxLegs bounds the legs of a view whatever the settings allow: more than this many never paid.
 const maxLegs = 8
 
-// row is what the module keeps by tariff.
-type row struct {
-	sending mean // sending time at full pace, where known
-	written mean // time of a write
+// row is what the module keeps by tariff: the usual sending time at full pace, or the time of a write.
+type row struct{ usual mean }
+
+// allowance is a tenant's bucket of views within its share.
+type allowance struct {
+	left float64
+	at   time.Duration
 }
 
 // Router decides for one router instance.
@@ -96,7 +96,6 @@
 	set     Settings
 	rng     pcg
 	now     time.Duration
-	born    time.Duration
 	acts    []Action
 	nodes   []node
 	index   map[NodeID]int32
@@ -104,27 +103,34 @@
 	caches  ring
 	parents ring
 	past    []pastRing
+	walks   int
 	views   []view
 	free    []int32
 	byID    map[ViewID]int32
 	memory  []memo
 	rows    []row
+	tenants []allowance
 	inlet   pipe // the location's link in, as this router's fills show it
 	gate    gate
+	retries float64 // further legs that may be spent
 	purges  []purge
 	share   float64 // this router's part of its location's views
+	probed  int
+	probeAt time.Duration
 }
 
 // New returns a router with empty hands.
 func New(set Settings, seed uint64) *Router {
-	r := &Router{set: set, rng: newPCG(seed), index: map[NodeID]int32{}, byID: map[ViewID]int32{}, origin: none}
-	r.rows = make([]row, len(set.Tariffs))
-	r.memory = make([]memo, memorySize)
-	r.gate.window = gateStart
-	r.share = 1
-	if z := int(set.Zone); z < len(set.ZoneRouters) && set.ZoneRouters[z] > 1 {
+	r := &Router{set: set, rng: newPCG(seed), index: map[NodeID]int32{}, byID: map[ViewID]int32{}, origin: none,
+		rows: make([]row, len(set.Tariffs)), tenants: make([]allowance, len(set.Tenants)),
+		memory: make([]memo, memorySize), gate: gate{window: gateStart}, share: 1}
+	z := int(set.Zone)
+	if z < len(set.ZoneRouters) && set.ZoneRouters[z] > 1 {
 		r.share = 1 / float64(set.ZoneRouters[z])
 	}
+	if z < len(set.ZoneInlet) && set.FlowKB > 0 {
+		r.inlet.room = set.ZoneInlet[z] / set.FlowKB * r.share
+	}
 	if r.set.Legs <= 0 || r.set.Legs > maxLegs {
 		r.set.Legs = maxLegs
 	}
@@ -142,7 +148,7 @@
 
 // Start begins the router's life.
 func (r *Router) Start(now time.Duration, acts []Action) []Action {
-	r.now, r.born, r.acts = now, now, acts
+	r.now, r.acts = now, acts
 	r.timer(tick, timerTick)
 	if r.set.AskForList {
 		r.act(Action{Kind: ActionFollow})
@@ -170,6 +176,8 @@
 		r.list(e)
 	case EventPurge:
 		r.purged(e)
+	case EventProbed:
+		r.probeEnd(e)
 	case EventTimer:
 		switch e.Timer {
 		case timerTick:
@@ -252,7 +260,7 @@
 }
 
 // ended tells from an answer what failed. Without notes only the outcome speaks.
-func (r *Router) ended(v *view, l *leg, e *Event) ending {
+func ended(e *Event) ending {
 	switch e.Note {
 	case NoteLacks:
 		return endLacks
@@ -280,22 +288,22 @@
 		r.act(Action{Kind: ActionTurnBack, View: e.View})
 		return
 	}
-	t := &r.set.Tariffs[e.Tariff]
+	t, usual := &r.set.Tariffs[e.Tariff], &r.rows[e.Tariff].usual
 	i := r.take()
 	v := &r.views[i]
-	*v = view{id: e.View, tariff: e.Tariff, tenant: e.Tenant, object: e.Object, group: e.Group, open: true,
-		born: r.now, end: r.now + e.Left, cache: none, ranNode: none,
-		hash: mix(uint64(e.Object) ^ uint64(e.Part)*0x9e3779b97f4a7c15)}
+	*v = view{id: e.View, tariff: e.Tariff, object: e.Object, group: e.Group, open: true, end: r.now + e.Left,
+		cache: none, sending: usual.get(), hash: mix(uint64(e.Object) ^ uint64(e.Part)*0x9e3779b97f4a7c15)}
 	r.byID[e.View] = i
-	v.sending, v.told = r.rows[e.Tariff].sending.get(), e.KB > 0 && r.set.FlowKB > 0
 	m := r.recall(v)
-	if v.told {
+	if v.sized = e.KB > 0 && r.set.FlowKB > 0 && !t.Write; v.sized {
 		v.sending = time.Duration(e.KB / r.set.FlowKB * float64(time.Second))
-		r.rows[e.Tariff].sending.add(v.sending, 0.02)
+		usual.add(v.sending, 0.02)
 	} else if m != nil && m.sending > 0 {
 		v.sending = m.sending
 	}
 	v.due = min(v.end, r.now+t.Due+time.Duration(t.DueStretch*float64(v.sending)))
+	v.spare = r.overAllowance(int(e.Tenant))
+	r.retries = min(retriesMost, r.retries+retriesEach)
 	if t.Write {
 		r.write(v)
 		return
@@ -306,156 +314,147 @@
 	r.start(v)
 }
 
-// start sends a view by the ordinary path: the ring's cache, then the source that plan names.
+// Further legs after a failure are bounded to this many a view on average, with a reserve for a burst: enough for
+// a fifth of all views to fail once, too few to double the load when everything fails.
+const (
+	retriesEach = 0.25
+	retriesMost = 20
+)
+
+// overAllowance: the tenant has had its share of views lately; such a view must not crowd out others.
+func (r *Router) overAllowance(tenant int) bool {
+	if tenant >= len(r.tenants) || r.set.Tenants[tenant].Allowance <= 0 {
+		return false
+	}
+	a, each := &r.tenants[tenant], r.set.Tenants[tenant].Allowance/float64(max(1, r.set.Routers))
+	a.left = min(each, a.left+each*(r.now-a.at).Seconds()) - 1
+	a.at = r.now
+	if a.left < 0 {
+		a.left++
+		return true
+	}
+	return false
+}
+
+// start sends a view by the ordinary path: the ring's cache, the former owner if the slot moved, the parent.
 func (r *Router) start(v *view) {
-	for v.open {
-		c := r.pick(v)
-		if c == none {
-			break
-		}
+	c, any := r.pick(v)
+	if c != none {
 		v.cache = c
-		v.tried |= 1 << c
-		if r.fill(v, r.firstStage(v)) {
+		if r.fill(v, stageRelay) {
 			return
 		}
-	}
-	if r.set.Direct && r.direct(v) {
+	} else if !any && r.set.Direct && r.direct(v) {
 		return
 	}
 	r.giveUp(v)
 }
 
-// firstStage is the relay after a move, else the ring's parent.
-func (r *Router) firstStage(v *view) stage {
-	if r.former(v) != none {
-		return stageRelay
-	}
-	return stageHome
-}
-
 // fill sends the view to its cache with the source of the stage, or of a later stage where that one cannot
 // be gone to. It reports whether a leg went out.
 func (r *Router) fill(v *view, st stage) bool {
 	if st == stageRelay {
-		if f := r.former(v); f != none && r.send(v, stageRelay, v.cache, f, HowHoldsOnly) {
+		if f := r.former(v); f != none && r.inTime(v, v.cache, f) && r.send(v, stageRelay, v.cache, f, HowHoldsOnly) {
 			return true
 		}
 		st = stageHome
 	}
 	p, failing := r.parent(v)
-	if st == stageOrigin || p == none || failing {
-		if r.gate.open() && r.inTime(v, v.cache, r.origin) && r.send(v, stageOrigin, v.cache, r.origin, 0) {
+	if st == stageOrigin || failing || p == none {
+		if r.reaches(v, v.cache, r.origin) && r.send(v, stageOrigin, v.cache, r.origin, 0) {
 			return true
 		}
-		if p == none || failing {
-			p = r.nextParent(v)
-		}
-		st = stageHome
-	}
-	if p == none || v.sources>>p&1 != 0 {
-		return r.look(v)
-	}
-	if r.gate.open() && r.inTime(v, v.cache, p) {
-		v.sources |= 1 << p
-		return r.send(v, stageHome, v.cache, p, 0)
+		p = r.nextParent(v)
 	}
-	if v.stage != stageHeld && r.send(v, stageHeld, v.cache, p, HowHoldsOnly) {
-		return true
+	if p != none && r.inTime(v, v.cache, p) {
+		if r.reaches(v, v.cache, p) {
+			return r.send(v, stageHome, v.cache, p, 0)
+		}
+		if v.stage != stageHeld {
+			return r.send(v, stageHeld, v.cache, p, HowHoldsOnly)
+		}
 	}
-	return false
+	// Nothing can be filled in time: what the cache holds may still do.
+	return v.n == 0 && r.send(v, stageLook, v.cache, v.cache, 0)
 }
 
-// look asks the cache alone.
-func (r *Router) look(v *view) bool {
-	if v.n > 0 {
-		return false // it has been asked already
+// reaches says whether a fill from src that has to wait for the origin may go: the gate has room, and the
+// origin's answers come in time. One at a time goes in any case, else nobody would see it recover.
+func (r *Router) reaches(v *view, n, src int32) bool {
+	if src == none {
+		return false
 	}
-	return r.send(v, stageLook, v.cache, v.cache, 0)
+	expect, _, filled := r.predict(v, n, src)
+	if filled && src != r.origin {
+		expect += r.gate.wait
+	}
+	return r.gate.out < gateLeast || r.gate.out < r.gate.window && r.now+expect <= v.due
 }
 
-// direct passes the caches by: only where the settings allow it and no cache of the location can be had.
+// direct passes the caches by: only where the settings allow it and no cache of the location is fit to be
+// asked at all (all lost, cold or failing). The origin is left to writes: its link is thin.
 func (r *Router) direct(v *view) bool {
 	p, failing := r.parent(v)
 	if failing {
 		p = r.nextParent(v)
 	}
-	for _, n := range [2]int32{p, r.origin} {
-		if n == none || v.tried>>n&1 != 0 || (n == r.origin && !r.gate.open()) {
-			continue
-		}
-		v.tried |= 1 << n
-		if r.inTime(v, n, n) && r.send(v, stageDirect, n, n, 0) {
-			return true
-		}
-	}
-	return false
+	return p != none && r.inTime(v, p, p) && r.reaches(v, p, p) && r.send(v, stageDirect, p, p, 0)
 }
 
-// write runs a view at the origin: straight where that is allowed, else through a cache.
+// write runs a view at the origin: straight where that is allowed, else through a cache. One that provably
+// did not run waits a little and goes again while it can be in time.
 func (r *Router) write(v *view) {
-	if r.origin == none {
-		r.giveUp(v)
-		return
+	v.again = 0
+	n := r.origin
+	if !r.set.Direct {
+		n, _ = r.pick(v)
 	}
-	v.stage = stageDirect
-	if r.set.Direct {
-		if !r.send(v, stageDirect, r.origin, r.origin, 0) {
-			r.giveUp(v)
-		}
-		return
-	}
-	for c := r.pick(v); c != none; c = r.pick(v) {
-		v.tried |= 1 << c
-		if r.send(v, stageDirect, c, r.origin, 0) {
-			return
-		}
+	if n == none || r.origin == none || !r.send(v, stageDirect, n, r.origin, 0) {
+		r.giveUp(v)
 	}
-	r.giveUp(v)
 }
 
+// writeAgain is the first wait before a write goes again; it doubles, so that a crowded origin gets air.
+const writeAgain = 60 * ms
+
 // send is the gate through which every leg passes; it holds the guards of the five rules and reports whether
 // the leg went out.
 func (r *Router) send(v *view, st stage, n, src int32, how How) bool {
-	t := &r.set.Tariffs[v.tariff]
-	// Rule 1: nothing for a view that is answered, and nothing that cannot come back in time.
+	t, usual := &r.set.Tariffs[v.tariff], r.rows[v.tariff].usual.get()
+	// Rule 1: nothing for a view that is answered, nor so late that its answer cannot come back.
 	if !v.open || v.streaming || v.n >= r.set.Legs || v.end-r.now < 2*ms {
 		return false
 	}
 	// Rule 2: what may have run goes out again only as its tariff allows.
-	if !r.mayRepeat(v, n) || (v.outs > 0 && !r.set.SecondCopies) {
+	if v.outs > 0 && !r.set.SecondCopies || !r.mayRepeat(v, n) {
 		return false
 	}
-	// Rule 3: nothing to a node past its grace, as view or as source.
-	if !r.usable(n) || !r.usable(src) {
+	// Rule 3: nothing to a node past its grace, as view or as source. Rule 4: no more to a cold one than it
+	// can bear; looks and refusals count as well.
+	if !r.usable(n) || !r.usable(src) || !r.affordable(n) || src != n && !r.affordable(src) {
 		return false
 	}
-	// Rule 4: no more than its share to a cold node; looks and refusals count as well.
-	weight := r.rows[v.tariff].sending.get()
-	if !r.affordable(n, weight) || (src != n && !r.affordable(src, weight)) {
-		return false
-	}
-	r.spend(n, weight)
-	if src != n {
-		r.spend(src, weight)
-	}
-	l := leg{node: n, source: src, sent: r.now, out: true, ran: true, busy: r.nodes[n].pipe.busy}
+	r.nodes[n].spent.add(usual.Seconds(), r.now, r.set.FallFor)
+	l := leg{node: n, source: src, sent: r.now, out: true, ran: true}
 	l.expect, l.duty, l.filled = r.predict(v, n, src)
+	if l.filled {
+		r.nodes[src].spent.add(usual.Seconds(), r.now, r.set.FallFor)
+	}
 	if how&HowHoldsOnly == 0 && src != n && r.nodes[src].role != roleCache && !t.Write {
-		l.via = 1 - l.duty
+		l.gate = 1 - l.duty
 		if src != r.origin {
-			l.via *= r.gate.via
+			l.gate *= r.gate.via
 		}
-		r.gate.out += l.via
-	}
-	r.nodes[n].pipe.busy += l.duty
-	if l.filled {
-		r.inlet.busy += l.duty
+		r.gate.out += l.gate
 	}
+	r.hold(&l, 1)
 	a := Action{Kind: ActionGet, View: v.id, Node: r.nodes[n].id, Source: r.nodes[src].id, How: how}
 	if !t.Write {
-		// Rule 5: nothing older than the purge will do.
+		// Rule 5: nothing older than the last purge will do.
 		a.Age = r.oldest(v, t)
-		a.Keep = r.rank(v, n)
+		if r.nodes[n].role == roleCache {
+			a.Keep = r.rank(v)
+		}
 		if r.set.Joins {
 			a.How |= HowJoin
 		}
@@ -463,9 +462,6 @@
 			a.How |= HowRenew
 		}
 	}
-	if r.nodes[n].role != roleCache {
-		a.Keep = 0
-	}
 	v.legs[v.n] = l
 	v.n++
 	v.outs++
@@ -474,45 +470,50 @@
 	return true
 }
 
+// hold counts a leg at the links that it uses, or takes it off again.
+func (r *Router) hold(l *leg, sign float64) {
+	r.nodes[l.node].pipe.busy += sign * l.duty
+	if l.filled && r.nodes[l.source].role != roleCache {
+		r.inlet.busy += sign * l.duty
+	}
+}
+
+// mayRepeat: a harmless view always; another one only if no leg may have run, or, stamped, inside the scope
+// and window of the first that may have.
 func (r *Router) mayRepeat(v *view, n int32) bool {
 	t := &r.set.Tariffs[v.tariff]
-	if t.Effect == Harmless || v.ranNode == none && v.outs == 0 {
+	if t.Effect == Harmless {
 		return true
 	}
-	if t.Effect == OneShot {
-		return false
-	}
-	first, at := v.ranNode, v.ranAt
 	for i := range v.n {
-		if l := &v.legs[i]; l.ran && (first == none || l.sent < at) {
-			first, at = l.node, l.sent
+		l := &v.legs[i]
+		if !l.ran {
+			continue
+		}
+		a, b := &r.nodes[l.node], &r.nodes[n]
+		inside := t.Scope == ScopeAll || a.zone == b.zone && (t.Scope == ScopeZone || a.cell == b.cell)
+		if t.Effect == OneShot || !inside || r.now-l.sent >= t.Window {
+			return false
 		}
 	}
-	if first == none {
-		return true
-	}
-	a, b := &r.nodes[first], &r.nodes[n]
-	inside := t.Scope == ScopeAll || a.zone == b.zone && (t.Scope == ScopeZone || a.cell == b.cell)
-	return inside && r.now-at < t.Window
+	return true
 }
 
-// usable: listed ready, or told of its leaving so lately that a leg may still name it. The grace is used to
-// nine tenths, so that a leg sent at its end does not reach the node after it.
+// usable: listed ready, or told of its leaving so lately that a leg may still name it. A tenth of the grace is
+// left unused, so that a leg sent at its end does not reach the node after it.
 func (r *Router) usable(n int32) bool {
-	if n == none {
-		return false
-	}
-	d := &r.nodes[n]
-	return d.state == Ready || r.now-d.told < r.set.DrainGrace*9/10
+	return n != none && (r.nodes[n].state == Ready || r.now-r.nodes[n].told < r.set.DrainGrace*9/10)
 }
 
+// backoff is the middle of the time to come back: about a due time, spread so that clients don't return at once.
+const backoff = 300 * ms
+
 // giveUp answers a view for good, unless a leg is still out that may answer it.
 func (r *Router) giveUp(v *view) {
 	if !v.open || v.outs > 0 {
 		return
 	}
-	t := &r.set.Tariffs[v.tariff]
-	ran := false
+	t, ran := &r.set.Tariffs[v.tariff], false
 	for i := range v.n {
 		ran = ran || v.legs[i].ran
 	}
@@ -528,10 +529,7 @@
 	r.close(v)
 }
 
-// backoff is the middle of the time to come back: a usual due time, spread so that clients don't return at once.
-const backoff = 300 * ms
-
-// close ends a view: legs that are still out are cancelled, and its place is reused when they have ended.
+// close ends a view: legs still out are cancelled, and its place is used again when they have ended.
 func (r *Router) close(v *view) {
 	v.open = false
 	for i := range v.n {
@@ -553,10 +551,7 @@
 }
 
 func (r *Router) release(v *view) {
-	if v.open || v.outs > 0 {
-		return
-	}
-	if i, held := r.byID[v.id]; held {
+	if i, held := r.byID[v.id]; held && !v.open && v.outs == 0 {
 		delete(r.byID, v.id)
 		r.free = append(r.free, i)
 	}
@@ -571,228 +566,275 @@
 	l := &v.legs[e.Leg]
 	l.out = false
 	v.outs--
-	r.nodes[l.node].pipe.busy -= l.duty
-	if l.filled {
-		r.inlet.busy -= l.duty
-	}
-	r.gate.out -= l.via
+	r.hold(l, -1)
+	r.gate.out -= l.gate
 	switch e.Outcome {
 	case Full, Unconnected, Moot, Missed:
 		l.ran = false
 	}
-	if l.ran && (v.ranNode == none || l.sent < v.ranAt) {
-		v.ranNode, v.ranAt = l.node, l.sent
-	}
-	end := r.ended(v, l, e)
-	r.learn(v, l, e, end)
-	if e.Final || !v.open {
-		if v.open {
-			r.close(v)
-		} else {
-			r.release(v)
-		}
-		return
+	r.report(l.node, &e.Report)
+	end := ended(e)
+	if e.Outcome == Succeeded {
+		r.learn(v, l, e)
+	} else {
+		r.blame(v, l, e, end)
 	}
-	if v.streaming {
-		r.giveUp(v)
-		return
+	switch {
+	case !v.open:
+		r.release(v)
+	case e.Final:
+		r.close(v)
+	default:
+		r.follow(v, steps[v.stage][end])
 	}
-	r.follow(v, steps[v.stage][end])
 }
 
 // follow takes a step for an open view.
 func (r *Router) follow(v *view, s step) {
-	if v.outs > 0 && s.effect == turnBack {
-		return
-	}
-	if r.set.Tariffs[v.tariff].Write {
-		if s.effect != turnBack && v.n < 4 && r.now < v.due {
-			v.tried = 0
-			r.write(v)
-			return
-		}
-		r.giveUp(v)
-		return
-	}
-	switch s.effect {
-	case fill:
-		if v.cache != none && r.fill(v, s.next) {
+	switch {
+	case r.set.Tariffs[v.tariff].Write:
+		if wait := writeAgain << v.n; s.effect != turnBack && r.now+wait < v.due && r.mayRepeat(v, r.origin) {
+			v.again = r.now + wait
 			return
 		}
-	case retry:
-		if v.n < r.set.Legs {
-			r.start(v)
+	case s.effect == fill:
+		if r.fill(v, s.next) {
 			return
 		}
+	case s.effect == retry && r.retries >= 1:
+		r.retries--
+		r.start(v)
+		return
 	}
 	r.giveUp(v)
 }
 
-// learn keeps what an outcome tells of the nodes and links on its way.
-func (r *Router) learn(v *view, l *leg, e *Event, end ending) {
-	n := &r.nodes[l.node]
-	took := e.Took
-	write := r.set.Tariffs[v.tariff].Write
-	if e.Outcome == Succeeded {
-		n.heard = r.now
-		r.good(l.node)
-		if write {
-			r.rows[v.tariff].written.add(took, 0.1)
-			return
-		}
-		hit := e.Note == NoteHit || e.Note == NoteStale || e.Note == NoteNone && r.set.Tells == TellsNone
-		m := r.remember(v)
-		m.at, m.seen = l.node, r.now
-		if !v.told && hit && (m.sending == 0 || took < m.sending) {
-			m.sending = took
-			r.rows[v.tariff].sending.add(took, 0.02)
-		}
-		busy := (l.busy + n.pipe.busy + 2*l.duty) / 2
-		if v.sending >= 100*ms {
-			if hit {
-				n.pipe.learn(float64(took)/float64(v.sending), busy)
-			} else if e.Note == NoteFilled || e.Note == NoteViaOrigin {
-				if s := float64(took-e.Waited) / float64(v.sending); s < 1.25 || s > 1.5*n.pipe.stretch() {
-					r.inlet.learn(s, r.inlet.busy+l.duty)
-				}
-			}
-		}
-		if s := l.source; s != l.node && (e.Note == NoteFilled || e.Note == NoteViaOrigin) {
-			r.nodes[s].heard = r.now
-			r.good(s)
-			via := e.Note == NoteViaOrigin || s == r.origin
-			if via {
-				r.gate.learn(e.Waited, r.set.Tariffs[v.tariff].Due, r.now)
-			} else if r.nodes[s].role == roleParent {
-				r.nodes[s].wait += (e.Waited - r.nodes[s].wait) / 8
-			}
-			if r.nodes[s].role == roleParent {
-				r.gate.mix(via)
-			}
-		}
+// learn keeps what a good answer tells of the nodes and links on its way.
+func (r *Router) learn(v *view, l *leg, e *Event) {
+	n, t, row := &r.nodes[l.node], &r.set.Tariffs[v.tariff], &r.rows[v.tariff]
+	r.good(l.node)
+	if t.Write {
+		row.usual.add(e.Took, 0.1)
 		return
 	}
-	switch end {
-	case endLacks:
-		n.heard = r.now
-		r.good(l.node)
-		if l.source != l.node && l.source >= 0 {
-			r.nodes[l.source].heard = r.now
-		}
-	case endSource:
-		n.heard = r.now
-		if l.source != l.node {
-			if e.Note == NoteUnreached {
-				r.bad(l.source, badHard)
-			} else {
-				r.bad(l.source, badSoft)
-			}
-			if l.source == r.origin {
-				r.gate.fail(r.now)
+	filled := e.Note == NoteFilled || e.Note == NoteViaOrigin
+	n.carries.add(v.sending.Seconds(), r.now, time.Second)
+	m := r.remember(v)
+	m.at, m.seen = l.node, r.now
+	stretch := 1.0
+	if v.sending > 0 {
+		stretch = float64(e.Took-e.Waited) / float64(v.sending)
+	}
+	if e.Note == NoteHit {
+		if !v.sized && n.load < calm {
+			if m.sending == 0 || e.Took < m.sending {
+				m.sending = e.Took
 			}
+			row.usual.add(e.Took, 0.02)
 		}
-	case endOrigin:
-		n.heard = r.now
-		if l.source != l.node {
-			r.nodes[l.source].heard = r.now
+		if v.sending >= 100*ms {
+			n.pipe.learn(stretch, n.pipe.busy+l.duty)
 		}
-		r.gate.fail(r.now)
-	case endPlace:
-		n.heard = r.now
-		if l.node == r.origin {
+	}
+	s := &r.nodes[l.source]
+	if !filled || s.role == roleCache {
+		return
+	}
+	r.good(l.source)
+	s.carries.add(v.sending.Seconds(), r.now, time.Second)
+	if v.sending >= 100*ms && (stretch < stretched || stretch > 1.5*n.pipe.stretch()) {
+		r.inlet.learn(stretch, r.inlet.busy+l.duty)
+	}
+	via := 0.0
+	if e.Note == NoteViaOrigin || s.role == roleOrigin {
+		via = 1
+		r.gate.learn(e.Waited, t.Due, r.now)
+	} else {
+		s.wait += (e.Waited - s.wait) / 8
+	}
+	if s.role == roleParent {
+		r.gate.via += (via - r.gate.via) / 20
+	}
+}
+
+// calm is the load below which a cache's link is taken to run at full pace.
+const calm = 0.8
+
+// blame tells nodes and gate apart as the cause of a failure. Notes say which; a source that was heard of
+// since the leg went out, and took its time to fail, was itself waiting for the origin.
+func (r *Router) blame(v *view, l *leg, e *Event, end ending) {
+	n := &r.nodes[l.node]
+	if l.node == r.origin {
+		if end != endLacks {
 			r.gate.fail(r.now)
 		}
+		return
+	}
+	switch end {
 	case endCache:
-		if l.node == r.origin {
-			r.gate.fail(r.now)
-			return
-		}
+		by := badHard
 		if e.Outcome == Errored {
-			n.heard = r.now
-			r.bad(l.node, badSoft)
-		} else {
-			r.bad(l.node, badHard)
+			by = badSoft
 		}
+		r.bad(l.node, by)
+		return
 	case endLate:
-		if e.Outcome == TimedOut && v.n == 1 && n.heard < l.sent {
-			r.bad(l.node, badHard)
+		return
+	case endPlace:
+		n.full = r.now + fullFor
+	case endSource:
+		switch {
+		case l.source == r.origin, e.Waited > overdue && r.nodes[l.source].heard > l.sent:
+			r.gate.fail(r.now)
+		case e.Note == NoteUnreached:
+			r.bad(l.source, badHard)
+		default:
+			r.bad(l.source, badSoft)
 		}
+	case endOrigin:
+		r.gate.fail(r.now)
+		r.nodes[l.source].heard = r.now
+	case endLacks:
+		r.nodes[l.source].heard = r.now
 	}
+	n.heard = r.now
 }
 
-// lookOver finds overdue legs. One whose node, or source, has shown no sign of life since it was sent gets
-// a second copy by another way. Guards against silent caches and parents (vanished, cut off, stalled). It
-// may cost a double transfer when a node merely pauses for long.
+// fullFor is how long a cache that turned a view away is asked for no fills: some transfers end meanwhile.
+const fullFor = 100 * ms
+
+// overdue is how far past twice its predicted time a leg may be before silence counts: a short pause of a node
+// or a resent packet should fit.
+const overdue = 150 * ms
+
+// lookOver sends writes again, and finds overdue legs. One whose node, or source, has shown no sign of life
+// since it was sent gets a second copy by another way. Guards against silent caches and parents (vanished,
+// cut off, stalled). It may cost a double transfer when a node merely pauses for long.
 func (r *Router) lookOver() {
 	for i := range r.views {
 		v := &r.views[i]
-		if !v.open || v.outs == 0 || v.streaming {
+		if !v.open || v.streaming {
+			continue
+		}
+		if v.again > 0 && r.now >= v.again {
+			r.write(v)
 			continue
 		}
 		for k := range v.n {
 			l := &v.legs[k]
-			if !l.out || l.nudged || r.now-l.sent < 2*l.expect+overdue {
+			if !l.out || l.nudged || r.now-l.sent < 2*l.expect+overdue || l.node == r.origin {
 				continue
 			}
 			l.nudged = true
 			silent := none
 			if r.nodes[l.node].heard < l.sent {
 				silent = l.node
-			} else if l.source != l.node && l.filled && r.nodes[l.source].heard < l.sent {
+			} else if l.filled && l.source != r.origin && r.nodes[l.source].heard < l.sent {
 				silent = l.source
 			}
-			if silent == none || silent == r.origin {
+			if silent == none {
 				continue
 			}
 			r.bad(silent, badHard)
-			if r.set.Tariffs[v.tariff].Effect == OneShot || !r.set.SecondCopies || r.now > v.due {
+			if r.set.Tariffs[v.tariff].Effect == OneShot || r.now > v.due || r.retries < 1 {
 				continue
 			}
-			if silent == l.node {
-				r.again(v)
-			} else {
+			r.retries--
+			if silent != l.node {
 				r.fill(v, stageOrigin)
+			} else if c, _ := r.pick(v); c != none {
+				v.cache = c
+				r.fill(v, stageRelay)
 			}
 		}
 	}
+	r.probe()
 }
 
-// again tries the next cache for a view with a leg out.
-func (r *Router) again(v *view) {
-	if c := r.pick(v); c != none {
-		v.cache = c
-		v.tried |= 1 << c
-		r.fill(v, r.firstStage(v))
+// probeEach is how often one cache is asked for its load, in turn, where reports come only so: a few in a
+// hundred of the views at most.
+const probeEach = 500 * ms
+
+// probe asks for the state of the location's link, which no answer tells. Without that signal it is not needed.
+func (r *Router) probe() {
+	if !r.set.Probes || r.set.Reports != ViaProbe || !slices.Contains(r.set.Columns, SignalPipe) ||
+		r.now < r.probeAt || len(r.caches.members) == 0 {
+		return
+	}
+	r.probeAt = r.now + probeEach
+	r.probed++
+	if n := r.caches.members[r.probed%len(r.caches.members)]; r.healthy(n) {
+		r.act(Action{Kind: ActionProbe, Node: r.nodes[n].id})
 	}
 }
 
-// overdue is how far past twice its predicted time a leg may be before its silence counts: a pause of a
-// node or a resent packet should fit.
-const overdue = 150 * ms
+func (r *Router) probeEnd(e *Event) {
+	if n, known := r.index[e.Node]; known {
+		r.report(n, &e.Report)
+	}
+}
+
+// report reads a load report.
+func (r *Router) report(n int32, rep *Report) {
+	d := &r.nodes[n]
+	if d.role != roleCache {
+		return
+	}
+	for i := range min(rep.N, len(r.set.Columns)) {
+		switch r.set.Columns[i] {
+		case SignalBusy:
+			d.load = rep.V[i]
+		case SignalPipe:
+			if x := rep.V[i]; x > 0.2 && r.inlet.busy > 0.5 {
+				r.inlet.room += (r.inlet.busy/x - r.inlet.room) / 10
+			}
+		}
+	}
+}
+
+// spill is how many caches after the ring's own may take a view that would be late there: more would spread
+// copies of everything over the location.
+const spill = 1
 
 // pick walks the ring from the view's point to the first cache that may have it: listed, in health, warm
-// enough for this object, and predicted in time. Where most caches are out, health is not asked: what fails
-// everywhere at once is shared, and no cache is better than another.
-func (r *Router) pick(v *view) int32 {
+// enough for this object, not asked yet, and predicted in time. If none is in time, it is the first: it may
+// hold the object. Where most caches are out, health is not asked: what fails everywhere at once is shared,
+// and no cache is better than another. any tells whether some cache was fit at all.
+func (r *Router) pick(v *view) (c int32, any bool) {
 	sick := 0
 	for _, c := range r.caches.members {
-		if r.out(c) {
+		if r.nodes[c].health.out {
 			sick++
 		}
 	}
-	ignore := 2*sick > len(r.caches.members)
-	found := none
-	r.caches.walk(v.hash, func(c int32) bool {
-		if v.tried>>c&1 != 0 || !r.admits(c, v.hash) || !ignore && !r.healthy(c) {
-			return true
+	p, failing := r.parent(v)
+	if failing {
+		p = r.origin
+	}
+	first, left := none, spill+1
+	found := r.walk(&r.caches, v.hash, func(c int32) bool {
+		if !r.admits(c, v.hash) || !r.affordable(c) || r.asked(v, c) || 2*sick <= len(r.caches.members) && !r.healthy(c) {
+			return false
 		}
-		if !r.inTime(v, c, none) {
-			return true
+		if first == none {
+			first = c
 		}
-		found = c
-		return false
+		left--
+		return left < 0 || r.inTime(v, c, p)
 	})
-	return found
+	if found == none || left < 0 {
+		return first, first != none
+	}
+	return found, true
+}
+
+func (r *Router) asked(v *view, n int32) bool {
+	for i := range v.n {
+		if v.legs[i].node == n {
+			return true
+		}
+	}
+	return false
 }
 
 // admits says whether a node takes the object: all objects once it is warm, while cold the share that it can
@@ -808,141 +850,120 @@
 	if d.role == roleParent {
 		least, over = r.set.ParentColdShare, r.set.ParentColdFor
 	}
-	age := r.now - d.started
-	if d.role == roleOrigin || over <= 0 || age >= over {
-		return 1
+	if age := r.now - d.started; d.role != roleOrigin && age < over {
+		return least + (1-least)*max(0, float64(age))/float64(over)
 	}
-	return least + (1-least)*max(0, float64(age))/float64(over)
-}
-
-// bucket holds the sending time that a cold node may still be sent.
-type bucket struct {
-	level float64 // seconds of sending
-	at    time.Duration
+	return 1
 }
 
-// bucketSafety is the part of the budget that this router allows itself: other routers' views, chance and
-// a link smaller than the others' must fit in the rest.
-const bucketSafety = 0.4
-
-// guessRoom is how many transfers a link is taken to carry for this location before any was seen busy: few.
-const guessRoom = 3
+// coldSafety is the part of a cold node's budget that this router allows itself. A fading sum over the window
+// lets a burst of twice the rate through, and other routers' chance must fit too. guessCarries stands for what
+// a warm one carries before any was seen to: one transfer.
+const (
+	coldSafety   = 0.5
+	guessCarries = 1
+)
 
-func (r *Router) budget(n int32) (rate, most float64) {
-	d := &r.nodes[n]
-	room, count := 0.0, 0
+// affordable says whether a cold node can bear one more view: what this router sent it lately must stay under
+// the stated multiple of what warm ones were seen to carry for this router, times its warmth. Guards rule 4
+// when the load is far from usual: a lost location, retries, a dead neighbour.
+func (r *Router) affordable(n int32) bool {
+	warm := r.warm(n)
+	if warm >= 1 {
+		return true
+	}
+	d, sum, count := &r.nodes[n], 0.0, 0.0
 	for i := range r.nodes {
-		if o := &r.nodes[i]; o.role == d.role && o.pipe.room > 0 && (d.role != roleCache || o.zone == d.zone) {
-			room += o.pipe.room
+		if o := &r.nodes[i]; o.role == d.role && o.carries.most > 0 && r.now-o.started > r.set.ColdFor {
+			sum += o.carries.most
 			count++
 		}
 	}
+	carries := guessCarries * r.share
 	if count > 0 {
-		room /= float64(count)
+		carries = max(carries, sum/count)
 	}
-	multiple, over := r.set.FallMultiple, r.set.FallFor
+	multiple := r.set.FallMultiple
 	if d.role == roleParent {
 		multiple = r.set.ParentFallMultiple
 	}
-	room = max(room, guessRoom*r.share)
-	rate = bucketSafety * multiple * r.warm(n) * room
-	return rate, rate * over.Seconds()
+	return d.spent.now(r.now, r.set.FallFor) < coldSafety*multiple*warm*carries
 }
 
-func (r *Router) affordable(n int32, weight time.Duration) bool {
-	d := &r.nodes[n]
-	if d.role != roleCache || r.warm(n) >= 1 {
-		return true
-	}
-	rate, most := r.budget(n)
-	if d.bucket.at < d.started {
-		d.bucket = bucket{level: most, at: max(d.started, r.born)}
-	}
-	d.bucket.level = min(most, d.bucket.level+rate*(r.now-d.bucket.at).Seconds())
-	d.bucket.at = r.now
-	return d.bucket.level >= weight.Seconds()
+// rate is a fading sum over a span, divided by it; most is its slowly fading peak.
+type rate struct {
+	value, most float64
+	at          time.Duration
 }
 
-func (r *Router) spend(n int32, weight time.Duration) {
-	if r.nodes[n].role == roleCache && r.warm(n) < 1 {
-		r.nodes[n].bucket.level -= weight.Seconds()
-	}
+func (f *rate) now(now, over time.Duration) float64 {
+	return f.value * math.Exp(-float64(now-f.at)/float64(max(over, ms)))
 }
 
-// parent names the ring's parent for the object, and whether it is failing for the moment. A parent that
-// has failed for remapAfter has handed its arc to the next one.
-func (r *Router) parent(v *view) (p int32, failing bool) {
-	p = none
-	r.parents.walk(v.hash, func(c int32) bool {
-		if !r.admits(c, v.hash) {
-			return true
-		}
-		if r.out(c) && r.now-r.nodes[c].health.since > remapAfter && !r.healthy(c) {
-			return true
-		}
-		p = c
-		return false
-	})
-	if p == none {
-		return none, false
-	}
-	return p, !r.healthy(p)
+func (f *rate) add(x float64, now, over time.Duration) {
+	f.value = f.now(now, over) + x/max(over, ms).Seconds()
+	f.most = max(f.most*math.Exp(-float64(now-f.at)/float64(mostFor)), f.value)
+	f.at = now
 }
 
+// mostFor is how long the peak of a rate is remembered: some times as long as a trouble lasts.
+const mostFor = time.Minute
+
 // remapAfter parts a brief failure of a parent from one that moves its arc: the design's 10 s.
 const remapAfter = 10 * time.Second
 
-// nextParent is a healthy parent other than those tried: where the origin's gate is closed to a failing
-// parent's objects.
+// parent names the ring's parent for the object, and whether it is failing for the moment. A parent that
+// has failed for remapAfter has handed its arc to the next one, but for trials.
+func (r *Router) parent(v *view) (p int32, failing bool) {
+	p = r.walk(&r.parents, v.hash, func(c int32) bool {
+		h := &r.nodes[c].health
+		return r.admits(c, v.hash) && r.affordable(c) && (!h.out || r.now-h.since < remapAfter || r.now >= h.until)
+	})
+	return p, p != none && !r.healthy(p)
+}
+
+// nextParent is a healthy parent that the view has not been filled from: where the origin cannot be reached for a
+// failing parent's objects.
 func (r *Router) nextParent(v *view) int32 {
-	p := none
-	r.parents.walk(v.hash, func(c int32) bool {
-		if r.out(c) || !r.admits(c, v.hash) || v.sources>>c&1 != 0 {
-			return true
+	return r.walk(&r.parents, v.hash, func(c int32) bool {
+		for i := range v.n {
+			if v.legs[i].source == c {
+				return false
+			}
 		}
-		p = c
-		return false
+		return !r.nodes[c].health.out && r.admits(c, v.hash) && r.affordable(c)
 	})
-	return p
 }
 
 // relayFor is how long after a list change a moved slot is filled from its former owner: the design's 30 s.
 const relayFor = 30 * time.Second
 
-// former is the cache that held the view's slot before it moved, or none. It must still hold it: a cold
-// cache holds nothing, and one past its grace must not be asked.
+// former is the cache that held the view's slot before it moved, or none. It must still hold it: a cold cache
+// holds nothing, and one past its grace must not be asked. A cache that started lately is empty though its
+// slot may not have moved: the next of the ring had it meanwhile.
 func (r *Router) former(v *view) int32 {
-	if r.set.Siblings == ReachNone || v.cache == none {
+	if r.set.Siblings == ReachNone {
 		return none
 	}
 	good := func(f int32) bool {
-		return f != none && f != v.cache && r.usable(f) && !r.out(f) && r.warm(f) >= 1
+		return f != v.cache && r.usable(f) && !r.nodes[f].health.out && r.warm(f) >= 1
 	}
 	for i := len(r.past) - 1; i >= 0 && r.now-r.past[i].until < relayFor; i-- {
-		if f := r.past[i].ring.owner(v.hash); good(f) {
+		f := none
+		r.walk(&r.past[i].ring, v.hash, func(c int32) bool { f = c; return true })
+		if f != none && good(f) {
 			return f
 		}
 	}
-	// A cache that started lately is empty though its slot may not have moved: the next one had it meanwhile.
 	if r.now-r.nodes[v.cache].started < relayFor {
-		f := none
-		r.caches.walk(v.hash, func(c int32) bool {
-			if !good(c) {
-				return true
-			}
-			f = c
-			return false
-		})
-		return f
+		return r.walk(&r.caches, v.hash, good)
 	}
 	return none
 }
 
-// pipe is a link as this router's own transfers show it: room is how many fit at full pace. Where others
-// share it, room is this router's part.
-type pipe struct {
-	busy, room float64
-}
+// pipe is a link as this router's own transfers show it: room is how many fit at full pace, 0 for no evidence.
+// Where others share the link, room is this router's part.
+type pipe struct{ busy, room float64 }
 
 // stretch is how many times longer than alone one more transfer takes.
 func (p *pipe) stretch() float64 {
@@ -952,11 +973,14 @@
 	return max(1, (p.busy+1)/p.room)
 }
 
-// learn takes the stretch of a transfer and how many ran beside it. A transfer at full pace shows that more
-// fit than ran; a stretched one how many did. The pace of a tenth forgets in some ten transfers.
+// stretched parts a transfer at full pace, with the noise of its size and way, from one that shared a full link.
+const stretched = 1.25
+
+// learn takes the stretch of a transfer and how many ran beside it. One at full pace shows that more fit than
+// ran; a stretched one how many did. The pace of a tenth forgets in some ten transfers.
 func (p *pipe) learn(stretch, busy float64) {
 	switch {
-	case stretch < 1.25:
+	case stretch < stretched:
 		if p.room > 0 && busy+1 > p.room*0.7 {
 			p.room += 0.1 * max(1, busy+1-p.room)
 		}
@@ -967,169 +991,141 @@
 	}
 }
 
-// predict is the time until a leg's answer is through, the part of it that uses the link, and whether a
-// fill is expected.
-func (r *Router) predict(v *view, n, src int32) (time.Duration, float64, bool) {
-	t := &r.set.Tariffs[v.tariff]
-	if t.Write {
-		return r.rows[v.tariff].written.get(), 0, false
+// predict is the time until a leg's answer is through, the part of it that uses the link, and whether a fill
+// is expected. src none: the time of a hit.
+func (r *Router) predict(v *view, n, src int32) (expect time.Duration, duty float64, filled bool) {
+	if r.set.Tariffs[v.tariff].Write {
+		return v.sending, 0, false
 	}
-	d := &r.nodes[n]
-	s := d.pipe.stretch() / max(0.1, r.warm(n))
-	filled := src != n && !r.holds(v, n)
+	s := r.nodes[n].pipe.stretch() / r.warm(n)
 	wait := time.Duration(0)
-	if filled {
+	if filled = src != n && src != none && !r.holds(v, n); filled && r.nodes[src].role != roleCache {
 		s = max(s, r.inlet.stretch())
-		switch {
-		case src == none:
-		case src == r.origin:
+		wait = r.nodes[src].wait
+		if src == r.origin {
 			wait = r.gate.wait
-		default:
-			wait = r.nodes[src].wait
 		}
 	}
 	send := time.Duration(float64(v.sending) * s)
 	return wait + send, float64(send+ms) / float64(wait+send+ms), filled
 }
 
-// inTime is the admission test.
+// margin is what an admitted view's predicted time is taken to grow by through those that come after it.
+const margin = 1.2
+
+// inTime is the admission test. A tenant's views over its allowance must leave room for others'.
 func (r *Router) inTime(v *view, n, src int32) bool {
-	expect, _, _ := r.predict(v, n, src)
-	return r.now+expect <= v.due
+	expect, _, filled := r.predict(v, n, src)
+	if filled && r.now < r.nodes[n].full {
+		return false
+	}
+	if v.spare {
+		expect *= 2
+	}
+	return r.now+time.Duration(margin*float64(expect)) <= v.due
 }
 
-// gate limits how many fills that may reach the origin are out at once. It closes when the origin keeps
-// views waiting for half their due time and three times its best, or fails, and opens again with each answer in good time. Guards
-// against a slow, crowded or stopped origin, and against pushing it over; also holds back fills while many
-// caches are empty. It hurts when the window is shut by a few slow answers: then views are turned back that
-// the origin could have served.
+// gate limits how many fills that wait for the origin are out at once. It closes when the origin keeps views
+// waiting for half their due time and three times its best, or fails, and opens again with each answer in good
+// time. Guards against a slow, crowded or stopped origin, and against pushing it over; also holds back fills
+// while many caches are empty. It hurts when a few slow answers shut it: then views are turned back that the
+// origin could have served.
 type gate struct {
 	window, out float64
-	wait, base  time.Duration // usual and shortest time to the first byte by way of the origin
-	via         float64
+	wait, best  time.Duration // usual and shortest time to the first byte by way of the origin
+	via         float64       // share of the parents' fills that went to the origin
 	cut         time.Duration
 }
 
-// gateStart is wide: the gate begins to matter when the origin's answers say so. gateLeast keeps trials going.
+// gateStart is wide: the gate matters only when the origin's answers say so. gateLeast keeps trials going.
+// Answers within gateEach were under way together and tell one thing.
 const (
 	gateStart = 256
-	gateLeast = 2
+	gateLeast = 1
+	gateEach  = 100 * ms
 )
 
-func (g *gate) open() bool { return g.out < g.window }
-
 func (g *gate) learn(wait, due, now time.Duration) {
 	if g.wait == 0 {
-		g.wait, g.base = wait, wait
+		g.wait, g.best = wait, wait
 	}
-	g.wait += (wait - g.wait) / 8
-	g.base = min(g.base+g.base/200, wait)
-	if wait > due/2 && wait > 3*g.base {
+	g.wait += (wait - g.wait) / 4
+	g.best = min(g.best+g.best/200, wait)
+	if wait > due/2 && wait > 3*g.best {
 		g.fail(now)
 	} else if g.window < gateStart {
 		g.window += 0.5
 	}
 }
 
-// fail narrows the window, once in a while only: answers that were under way together tell one thing.
 func (g *gate) fail(now time.Duration) {
-	if now-g.cut < 100*ms {
-		return
-	}
-	g.cut = now
-	g.window = max(gateLeast, min(g.window, g.out+1)*0.7)
-}
-
-func (g *gate) mix(via bool) {
-	x := 0.0
-	if via {
-		x = 1
+	if now-g.cut >= gateEach {
+		g.cut = now
+		g.window = max(gateLeast, min(g.window, g.out+1)*0.7)
 	}
-	g.via += (x - g.via) / 20
 }
 
 // health follows a cache or a parent through its failures.
 type health struct {
-	state  healthState
+	out    bool
+	silent bool          // it went out without a word: it may have been restarted
 	rate   float64       // recent share of failures
 	since  time.Duration // when it went out
 	until  time.Duration // no trial before
 	pause  time.Duration
 	goods  int
-	gone   bool // it went out without a word: it may have been restarted
-	trials time.Duration
 }
 
-type healthState uint8
-
-const (
-	up healthState = iota
-	away
-	healthStates
-)
-
 // A failure moves the rate of failures by this much: an error answer is softer evidence than a lost connection.
 const (
 	badSoft = 0.15
 	badHard = 0.3
 )
 
-// sickAt is the rate at which a node goes out: two lost connections, or four errors in a row.
-const sickAt = 0.45
-
-// Trials begin after firstPause, then at twice the distance up to lastPause; wellAfter good ones end them.
+// sickAt is the rate at which a node goes out: two lost connections, or four errors in a row. Trials begin after
+// firstPause, then at twice the distance up to lastPause; wellAfter good ones in a row end them.
 const (
+	sickAt     = 0.45
 	firstPause = time.Second
 	lastPause  = 4 * time.Second
 	wellAfter  = 3
 )
 
-func (r *Router) out(n int32) bool { return r.nodes[n].health.state == away }
-
-// healthy: up, or due for a trial, which this call then counts as begun.
+// healthy: in, or due for a trial, which this call then counts as begun.
 func (r *Router) healthy(n int32) bool {
 	h := &r.nodes[n].health
-	if h.state == up {
+	if h.out && r.now >= h.until {
+		h.until = r.now + h.pause/4
 		return true
 	}
-	if r.now < h.until {
-		return false
-	}
-	h.until = r.now + h.pause/4
-	return true
+	return !h.out
 }
 
 func (r *Router) bad(n int32, by float64) {
-	if n == none {
-		return
-	}
-	d := &r.nodes[n]
-	if d.role == roleOrigin {
-		return
-	}
-	h := &d.health
+	h := &r.nodes[n].health
 	h.rate += by * (1 - h.rate)
 	h.goods = 0
-	if h.state == away {
+	h.silent = by == badHard
+	if h.out {
 		h.pause = min(lastPause, 2*h.pause)
 		h.until = r.now + h.pause
-		h.gone = h.gone || by == badHard
 	} else if h.rate > sickAt {
-		*h = health{state: away, rate: h.rate, since: r.now, until: r.now + firstPause, pause: firstPause, gone: by == badHard}
+		h.out, h.since, h.until, h.pause = true, r.now, r.now+firstPause, firstPause
 	}
 }
 
 func (r *Router) good(n int32) {
-	h := &r.nodes[n].health
+	d := &r.nodes[n]
+	d.heard = r.now
+	h := &d.health
 	h.rate -= badSoft * h.rate
-	if h.state != away {
+	if !h.out {
 		return
 	}
 	if h.goods++; h.goods >= wellAfter {
-		// Gone without a word and back: taken for restarted, so cold and empty. A list that lags would say
-		// so too late.
-		if h.gone {
-			r.nodes[n].started = max(r.nodes[n].started, r.now-firstPause)
+		// Gone without a word and back: taken for restarted, so cold and empty. A list that lags says so too late.
+		if h.silent {
+			d.started = max(d.started, r.now-firstPause)
 		}
 		*h = health{}
 	}
@@ -1144,11 +1140,12 @@
 	count   uint8
 }
 
-// memorySize is a power of two, some times what is asked for within heldFor.
-const memorySize = 1 << 14
-
-// heldFor is how long a cache is expected to hold what was not asked for again.
-const heldFor = 10 * time.Second
+// memorySize is a power of two, some times what is asked for within heldFor, which is how long a cache is expected
+// to hold what was not asked for again.
+const (
+	memorySize = 1 << 14
+	heldFor    = 10 * time.Second
+)
 
 func (r *Router) recall(v *view) *memo {
 	if m := &r.memory[v.hash%memorySize]; m.key == v.hash {
@@ -1171,14 +1168,17 @@
 	return m != nil && m.at == n && r.now-m.seen < heldFor && m.seen >= r.nodes[n].started
 }
 
-// rank is the rank at which a copy is kept: the lowest at first sight, the next when it is asked for again,
-// none for what is far larger than usual and was never asked for.
-func (r *Router) rank(v *view, n int32) uint8 {
-	m := r.recall(v)
-	if m != nil && m.count > 0 {
+// huge is how many times the usual size an object must have to be passed through at first sight.
+const huge = 6
+
+// rank is the rank at which a copy is kept: the lowest at first sight, the next when it is asked for again, none
+// for what is far larger than usual and was never asked for.
+func (r *Router) rank(v *view) uint8 {
+	usual := r.rows[v.tariff].usual.get()
+	switch m := r.recall(v); {
+	case m != nil && m.count > 0:
 		return 2
-	}
-	if usual := r.rows[v.tariff].sending.get(); usual > 0 && v.sending > 6*usual {
+	case usual > 0 && v.sending > huge*usual:
 		return 0
 	}
 	return 1
@@ -1191,13 +1191,8 @@
 }
 
 func (r *Router) purged(e *Event) {
-	keep := r.purges[:0]
-	for _, p := range r.purges {
-		if r.now-p.at < r.set.PurgeDone {
-			keep = append(keep, p)
-		}
-	}
-	r.purges = append(keep, purge{e.Object, e.Group, r.now - e.Ago})
+	r.purges = slices.DeleteFunc(r.purges, func(p purge) bool { return r.now-p.at > r.set.PurgeDone })
+	r.purges = append(r.purges, purge{e.Object, e.Group, r.now - e.Ago})
 }
 
 // oldest is the oldest copy that will do: 0 for the tariff's own limit, else younger than the last purge.
@@ -1217,7 +1212,7 @@
 	return oldest
 }
 
-// ring is a consistent-hash ring.
+// ring is a consistent-hash ring; pastRing one that was replaced.
 type ring struct {
 	points  []point
 	members []int32
@@ -1233,12 +1228,15 @@
 	until time.Duration
 }
 
-// ringPoints a member evens the arcs to some six in a hundred.
-const ringPoints = 200
+// ringPoints a member evens the arcs to some six in a hundred. pastRings are kept for the relay: a deploy
+// changes the list every few seconds.
+const (
+	ringPoints = 200
+	pastRings  = 3
+)
 
 func (r *Router) newRing(members []int32) ring {
-	g := ring{members: members}
-	total := 0.0
+	g, total := ring{members: members}, 0.0
 	for _, n := range members {
 		total += r.nodes[n].weight
 	}
@@ -1253,157 +1251,114 @@
 			g.points = append(g.points, point{h, n})
 		}
 	}
-	slices.SortFunc(g.points, func(a, b point) int {
-		if a.at != b.at {
-			if a.at < b.at {
-				return -1
-			}
-			return 1
-		}
-		return int(a.n - b.n)
-	})
+	slices.SortFunc(g.points, func(a, b point) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.n, b.n)) })
 	return g
 }
 
-// walk visits the members in ring order from the hash until visit returns false.
-func (g *ring) walk(hash uint64, visit func(int32) bool) {
-	from, _ := slices.BinarySearchFunc(g.points, hash, func(p point, h uint64) int {
-		if p.at < h {
-			return -1
-		}
-		if p.at > h {
-			return 1
-		}
-		return 0
-	})
-	seen, left := uint64(0), len(g.members)
-	for i := 0; left > 0; i++ {
+// walk visits the members in ring order from the hash on, and returns the first that will do.
+func (r *Router) walk(g *ring, hash uint64, does func(int32) bool) int32 {
+	from, _ := slices.BinarySearchFunc(g.points, hash, func(p point, h uint64) int { return cmp.Compare(p.at, h) })
+	r.walks++
+	walk := r.walks
+	for i, left := 0, len(g.members); left > 0 && i < len(g.points); i++ {
 		n := g.points[(from+i)%len(g.points)].n
-		if seen>>n&1 != 0 {
+		if r.nodes[n].seen == walk {
 			continue
 		}
-		seen |= 1 << n
+		r.nodes[n].seen = walk
 		left--
-		if !visit(n) {
-			return
+		if does(n) {
+			return n
 		}
 	}
+	return none
 }
 
-func (g *ring) owner(hash uint64) int32 {
-	n := none
-	g.walk(hash, func(c int32) bool { n = c; return false })
-	return n
-}
-
-// list follows the list of nodes.
+// list follows the list of nodes. Caches of other locations are passed over.
 func (r *Router) list(e *Event) {
 	if e.List == ListFailed {
 		r.timer(200*ms+time.Duration(r.rng.float()*float64(300*ms)), timerList)
 		return
 	}
-	var named uint64
+	r.walks++
 	for i := range e.Members {
 		m := &e.Members[i]
 		n, known := r.index[m.Node]
 		if !known {
-			if m.State == Gone {
-				continue
+			k := roleCache
+			switch m.Kind {
+			case r.set.ParentKind:
+				k = roleParent
+			case r.set.OriginKind:
+				k = roleOrigin
 			}
-			if n = r.place(); n == none {
+			if m.State == Gone || k == roleCache && m.Zone != r.set.Zone {
 				continue
 			}
+			n = r.place()
 			r.index[m.Node] = n
-			r.nodes[n] = node{id: m.Node, zone: m.Zone, cell: m.Cell, state: Ready, started: LongAgo, heard: r.now}
-			switch m.Kind {
-			case r.set.ParentKind:
-				r.nodes[n].role = roleParent
-			case r.set.OriginKind:
-				r.nodes[n].role = roleOrigin
+			r.nodes[n] = node{id: m.Node, role: k, zone: m.Zone, cell: m.Cell, started: LongAgo, heard: r.now}
+			if k == roleOrigin {
 				r.origin = n
 			}
 		}
-		named |= 1 << n
-		r.update(n, m)
-	}
-	if e.List != ListChanges {
-		for n := range r.nodes {
-			if d := &r.nodes[n]; named>>n&1 == 0 && d.state != Gone {
-				r.leave(d, Gone)
-			}
+		d := &r.nodes[n]
+		d.seen, d.weight = r.walks, m.Weight
+		if m.Started > d.started {
+			d.started, d.health, d.pipe.room = m.Started, health{}, 0
 		}
+		r.update(d, m.State)
 	}
-	r.rebuild()
-}
-
-// place finds room for a new node. The bit sets hold 64: places of the long gone are used again.
-func (r *Router) place() int32 {
-	if len(r.nodes) < 64 {
-		r.nodes = append(r.nodes, node{})
-		return int32(len(r.nodes) - 1)
-	}
-	best := none
-	for i := range r.nodes {
-		d := &r.nodes[i]
-		if d.state == Gone && d.pipe.busy < 0.01 && r.now-d.told > relayFor && (best == none || d.told < r.nodes[best].told) {
-			best = int32(i)
+	for n := range r.nodes {
+		if d := &r.nodes[n]; e.List != ListChanges && d.seen != r.walks {
+			r.update(d, Gone)
 		}
 	}
-	if best != none {
-		delete(r.index, r.nodes[best].id)
-	}
-	return best
+	r.rebuild()
 }
 
-func (r *Router) leave(d *node, s State) {
-	if d.state == Ready {
+// update keeps the time at which a node was first told to leave.
+func (r *Router) update(d *node, s State) {
+	if s != Ready && d.state == Ready {
 		d.told = r.now
 	}
 	d.state = s
 }
 
-func (r *Router) update(n int32, m *Member) {
-	d := &r.nodes[n]
-	d.weight = m.Weight
-	if m.Started > d.started {
-		d.started = m.Started
-		d.health = health{}
-		d.pipe.room = 0
-	}
-	if m.State == Ready {
-		d.state = Ready
-	} else {
-		r.leave(d, m.State)
+// place finds room for a new node: that of one long gone, else more.
+func (r *Router) place() int32 {
+	for i := range r.nodes {
+		if d := &r.nodes[i]; d.state == Gone && d.pipe.busy < 0.001 && r.now-d.told > 2*relayFor {
+			delete(r.index, d.id)
+			return int32(i)
+		}
 	}
+	r.nodes = append(r.nodes, node{})
+	return int32(len(r.nodes) - 1)
 }
 
 // rebuild makes the rings anew and keeps the last ones for the relay.
 func (r *Router) rebuild() {
 	var caches, parents []int32
 	for i := range r.nodes {
-		d := &r.nodes[i]
-		if d.state != Ready {
-			continue
-		}
-		if d.role == roleCache && (d.zone == r.set.Zone) {
+		switch d := &r.nodes[i]; {
+		case d.state != Ready:
+		case d.role == roleCache:
 			caches = append(caches, int32(i))
-		} else if d.role == roleParent {
+		case d.role == roleParent:
 			parents = append(parents, int32(i))
 		}
 	}
-	if !slices.Equal(caches, r.caches.members) {
-		if len(r.caches.members) > 0 {
-			r.past = append(r.past, pastRing{r.caches, r.now})
-			if len(r.past) > 3 {
-				r.past = slices.Delete(r.past, 0, 1)
-			}
+	if len(r.caches.members) > 0 && !slices.Equal(caches, r.caches.members) {
+		if len(r.past) == pastRings {
+			r.past = slices.Delete(r.past, 0, 1)
 		}
+		r.past = append(r.past, pastRing{r.caches, r.now})
 	}
-	r.caches = r.newRing(caches)
-	r.parents = r.newRing(parents)
+	r.caches, r.parents = r.newRing(caches), r.newRing(parents)
 }
 
-// mean is a moving mean of times.
+// mean is a moving mean of times: a plain one at first, then at the pace given.
 type mean struct {
 	value float64
 	n     int
@@ -1418,10 +1373,8 @@
 
 // mix spreads a number over 64 bits (the finisher of splitmix64).
 func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
 
@@ -1433,7 +1386,6 @@
 func (p *pcg) float() float64 {
 	s := p.state
 	p.state = s*6364136223846793005 + 1442695040888963407
-	x := uint32((s>>18 ^ s) >> 27)
-	k := uint32(s >> 59)
+	x, k := uint32((s>>18^s)>>27), uint32(s>>59)
 	return float64(x>>k|x<<(-k&31)) / (1 << 32)
 }
