--- a/rules/rules.go
+++ b/rules/rules.go
@@ -9,116 +9,15 @@
 // health, pipes, rings and the list.
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 )
 
 const ms = time.Millisecond
 
-type role uint8
-
-const (
-	roleCache role = iota
-	roleParent
-	roleOrigin
-)
-
-// none stands for no node, no view.
-const none = int32(-1)
-
-// node is what the router knows of a cache of its location, a parent or the origin.
-type node struct {
-	id      NodeID
-	role    role
-	zone    ZoneID
-	cell    CellID
-	weight  float64
-	state   State
-	told    time.Duration // when told that it drains or is gone
-	started time.Duration
-	pipe    pipe // its link out, as far as this router's transfers show it
-	health  health
-	heard   time.Duration // last sign of life
-	full    time.Duration // until then it has no place for a fill
-	wait    time.Duration // usual time to the first byte of a fill that it holds
-	carries rate          // sending time a second that it has answered in
-	spent   rate          // sending time a second that it was sent lately
-	load    float64       // its last report of how busy it is
-	seen    int           // last walk of a ring that met it
-}
-
-type leg struct {
-	node, source int32
-	sent, expect time.Duration // expect: predicted time to its end
-	duty         float64       // part of its time in which it uses the link
-	gate         float64       // part of its time in which it may wait for the origin
-	out, ran     bool          // still out; may have run
-	nudged       bool          // found overdue already
-	filled       bool          // predicted to need a fill
-}
-
-// view is a view in hand, or one whose last legs have yet to end.
-type view struct {
-	id        ViewID
-	tariff    TariffID
-	object    ObjectID
-	group     GroupID
-	hash      uint64
-	end, due  time.Duration // end: the client gives up
-	sending   time.Duration // to send it at full pace
-	again     time.Duration // when a write is tried again, 0: not
-	sized     bool          // the size was told
-	spare     bool          // over its tenant's allowance
-	open      bool
-	streaming bool
-	stage     stage
-	cache     int32 // the cache whose turn it is
-	legs      [maxLegs]leg
-	n, outs   int
-}
-
 // maxLegs bounds the legs of a view whatever the settings allow: more than this many never paid.
 const maxLegs = 8
 
-// row is what the module keeps by tariff: the usual sending time at full pace, or the time of a write.
-type row struct{ usual mean }
-
-// allowance is a tenant's bucket of views within its share.
-type allowance struct {
-	left float64
-	at   time.Duration
-}
-
-// Router decides for one router instance.
-type Router struct {
-	set     Settings
-	rng     pcg
-	now     time.Duration
-	acts    []Action
-	nodes   []node
-	index   map[NodeID]int32
-	origin  int32
-	caches  ring
-	parents ring
-	past    []pastRing
-	walks   int
-	views   []view
-	free    []int32
-	byID    map[ViewID]int32
-	memory  []memo
-	rows    []row
-	tenants []allowance
-	inlet   pipe // the location's link in, as this router's fills show it
-	gate    gate
-	retries float64 // further legs that may be spent
-	purges  []purge
-	share   float64 // this router's part of its location's views
-	probed  int
-	probeAt time.Duration
-}
-
 // New returns a router with empty hands.
 func New(set Settings, seed uint64) *Router {
 	r := &Router{set: set, rng: newPCG(seed), index: map[NodeID]int32{}, byID: map[ViewID]int32{}, origin: none,
@@ -146,6 +45,9 @@
 // tick is how often views in hand are looked over: well under the shortest due time, and cheap.
 const tick = 20 * ms
 
+// followWait is how long after a failed call the list is asked for again, and as much more by chance.
+const followWait = 250 * ms
+
 // Start begins the router's life.
 func (r *Router) Start(now time.Duration, acts []Action) []Action {
 	r.now, r.acts = now, acts
@@ -173,11 +75,18 @@
 			r.close(v)
 		}
 	case EventList:
-		r.list(e)
+		if e.List == ListFailed {
+			r.timer(followWait+time.Duration(r.rng.float()*float64(followWait)), timerList)
+		} else {
+			r.enlist(e)
+			r.rebuild()
+		}
 	case EventPurge:
 		r.purged(e)
 	case EventProbed:
-		r.probeEnd(e)
+		if n, known := r.index[e.Node]; known {
+			r.report(n, &e.Report)
+		}
 	case EventTimer:
 		switch e.Timer {
 		case timerTick:
@@ -190,19 +99,6 @@
 	return r.acts
 }
 
-func (r *Router) act(a Action) { r.acts = append(r.acts, a) }
-
-func (r *Router) timer(wait time.Duration, name uint64) {
-	r.act(Action{Kind: ActionTimer, Wait: wait, Timer: name})
-}
-
-func (r *Router) find(id ViewID) *view {
-	if i, held := r.byID[id]; held {
-		return &r.views[i]
-	}
-	return nil
-}
-
 // The stages of a view, the ways in which a leg can end, and what follows.
 
 type stage uint8
@@ -242,21 +138,16 @@
 	effect effect
 }
 
-// steps says what follows when a leg has ended without an answer. A stage that cannot be gone to (no
-// such node, no budget, not in time) is turned back in send's stead.
+// steps says what follows when a leg has ended without an answer. Where a next stage cannot be gone to (no such
+// node, no budget, not in time), fill and start go on to a later one or give up.
 var steps = [stages][endings]step{
-	stageHome: {endLacks: {stageOrigin, fill}, endSource: {stageOrigin, fill}, endOrigin: {stageLook, turnBack},
-		endPlace: {stageHome, retry}, endCache: {stageHome, retry}, endLate: {stageHome, turnBack}},
-	stageRelay: {endLacks: {stageHome, fill}, endSource: {stageHome, fill}, endOrigin: {stageHome, fill},
-		endPlace: {stageHome, retry}, endCache: {stageHome, retry}, endLate: {stageHome, turnBack}},
-	stageHeld: {endLacks: {stageHome, fill}, endSource: {stageOrigin, fill}, endOrigin: {stageLook, turnBack},
-		endPlace: {stageHome, retry}, endCache: {stageHome, retry}, endLate: {stageHome, turnBack}},
-	stageOrigin: {endLacks: {stageHome, turnBack}, endSource: {stageHome, fill}, endOrigin: {stageHome, turnBack},
-		endPlace: {stageHome, retry}, endCache: {stageHome, retry}, endLate: {stageHome, turnBack}},
-	stageDirect: {endLacks: {stageDirect, retry}, endSource: {stageDirect, retry}, endOrigin: {stageDirect, turnBack},
-		endPlace: {stageDirect, retry}, endCache: {stageDirect, retry}, endLate: {stageDirect, turnBack}},
-	stageLook: {endLacks: {stageLook, turnBack}, endSource: {stageLook, turnBack}, endOrigin: {stageLook, turnBack},
-		endPlace: {stageLook, turnBack}, endCache: {stageLook, retry}, endLate: {stageLook, turnBack}},
+	//            endLacks             endSource            endOrigin        endPlace         endCache         endLate
+	stageHome:   {{stageOrigin, fill}, {stageOrigin, fill}, {0, turnBack}, {0, retry}, {0, retry}, {0, turnBack}},
+	stageRelay:  {{stageHome, fill}, {stageHome, fill}, {stageHome, fill}, {0, retry}, {0, retry}, {0, turnBack}},
+	stageHeld:   {{stageHome, fill}, {stageOrigin, fill}, {0, turnBack}, {0, retry}, {0, retry}, {0, turnBack}},
+	stageOrigin: {{0, turnBack}, {stageHome, fill}, {0, turnBack}, {0, retry}, {0, retry}, {0, turnBack}},
+	stageDirect: {{0, retry}, {0, retry}, {0, turnBack}, {0, retry}, {0, retry}, {0, turnBack}},
+	stageLook:   {{0, turnBack}, {0, turnBack}, {0, turnBack}, {0, turnBack}, {0, retry}, {0, turnBack}},
 }
 
 // ended tells from an answer what failed. Without notes only the outcome speaks.
@@ -470,14 +361,6 @@
 	return true
 }
 
-// hold counts a leg at the links that it uses, or takes it off again.
-func (r *Router) hold(l *leg, sign float64) {
-	r.nodes[l.node].pipe.busy += sign * l.duty
-	if l.filled && r.nodes[l.source].role != roleCache {
-		r.inlet.busy += sign * l.duty
-	}
-}
-
 // mayRepeat: a harmless view always; another one only if no leg may have run, or, stamped, inside the scope
 // and window of the first that may have.
 func (r *Router) mayRepeat(v *view, n int32) bool {
@@ -529,34 +412,6 @@
 	r.close(v)
 }
 
-// close ends a view: legs still out are cancelled, and its place is used again when they have ended.
-func (r *Router) close(v *view) {
-	v.open = false
-	for i := range v.n {
-		if v.legs[i].out && r.set.Cancel && !v.streaming {
-			r.act(Action{Kind: ActionCancel, View: v.id, Leg: LegNo(i)})
-		}
-	}
-	r.release(v)
-}
-
-func (r *Router) take() int32 {
-	if n := len(r.free); n > 0 {
-		i := r.free[n-1]
-		r.free = r.free[:n-1]
-		return i
-	}
-	r.views = append(r.views, view{})
-	return int32(len(r.views) - 1)
-}
-
-func (r *Router) release(v *view) {
-	if i, held := r.byID[v.id]; held && !v.open && v.outs == 0 {
-		delete(r.byID, v.id)
-		r.free = append(r.free, i)
-	}
-}
-
 // legEnd learns from an outcome and takes the step that follows.
 func (r *Router) legEnd(e *Event) {
 	v := r.find(e.View)
@@ -768,12 +623,6 @@
 	}
 }
 
-func (r *Router) probeEnd(e *Event) {
-	if n, known := r.index[e.Node]; known {
-		r.report(n, &e.Report)
-	}
-}
-
 // report reads a load report.
 func (r *Router) report(n int32, rep *Report) {
 	d := &r.nodes[n]
@@ -828,15 +677,6 @@
 	return found, true
 }
 
-func (r *Router) asked(v *view, n int32) bool {
-	for i := range v.n {
-		if v.legs[i].node == n {
-			return true
-		}
-	}
-	return false
-}
-
 // admits says whether a node takes the object: all objects once it is warm, while cold the share that it can
 // give, chosen by the object's hash, so that all routers agree without talking. Guards rule 4.
 func (r *Router) admits(n int32, hash uint64) bool {
@@ -890,22 +730,6 @@
 	return d.spent.now(r.now, r.set.FallFor) < coldSafety*multiple*warm*carries
 }
 
-// rate is a fading sum over a span, divided by it; most is its slowly fading peak.
-type rate struct {
-	value, most float64
-	at          time.Duration
-}
-
-func (f *rate) now(now, over time.Duration) float64 {
-	return f.value * math.Exp(-float64(now-f.at)/float64(max(over, ms)))
-}
-
-func (f *rate) add(x float64, now, over time.Duration) {
-	f.value = f.now(now, over) + x/max(over, ms).Seconds()
-	f.most = max(f.most*math.Exp(-float64(now-f.at)/float64(mostFor)), f.value)
-	f.at = now
-}
-
 // mostFor is how long the peak of a rate is remembered: some times as long as a trouble lasts.
 const mostFor = time.Minute
 
@@ -961,10 +785,6 @@
 	return none
 }
 
-// pipe is a link as this router's own transfers show it: room is how many fit at full pace, 0 for no evidence.
-// Where others share the link, room is this router's part.
-type pipe struct{ busy, room float64 }
-
 // stretch is how many times longer than alone one more transfer takes.
 func (p *pipe) stretch() float64 {
 	if p.room <= 0 {
@@ -1065,17 +885,6 @@
 	}
 }
 
-// health follows a cache or a parent through its failures.
-type health struct {
-	out    bool
-	silent bool          // it went out without a word: it may have been restarted
-	rate   float64       // recent share of failures
-	since  time.Duration // when it went out
-	until  time.Duration // no trial before
-	pause  time.Duration
-	goods  int
-}
-
 // A failure moves the rate of failures by this much: an error answer is softer evidence than a lost connection.
 const (
 	badSoft = 0.15
@@ -1131,15 +940,6 @@
 	}
 }
 
-// memo is what is recalled of an object.
-type memo struct {
-	key     uint64
-	seen    time.Duration
-	sending time.Duration
-	at      int32
-	count   uint8
-}
-
 // memorySize is a power of two, some times what is asked for within heldFor, which is how long a cache is expected
 // to hold what was not asked for again.
 const (
@@ -1147,21 +947,6 @@
 	heldFor    = 10 * time.Second
 )
 
-func (r *Router) recall(v *view) *memo {
-	if m := &r.memory[v.hash%memorySize]; m.key == v.hash {
-		return m
-	}
-	return nil
-}
-
-func (r *Router) remember(v *view) *memo {
-	m := &r.memory[v.hash%memorySize]
-	if m.key != v.hash {
-		*m = memo{key: v.hash, at: none}
-	}
-	return m
-}
-
 // holds says whether the node is expected to have the view's object.
 func (r *Router) holds(v *view, n int32) bool {
 	m := r.recall(v)
@@ -1184,17 +969,6 @@
 	return 1
 }
 
-type purge struct {
-	object ObjectID // 0: the whole group
-	group  GroupID
-	at     time.Duration
-}
-
-func (r *Router) purged(e *Event) {
-	r.purges = slices.DeleteFunc(r.purges, func(p purge) bool { return r.now-p.at > r.set.PurgeDone })
-	r.purges = append(r.purges, purge{e.Object, e.Group, r.now - e.Ago})
-}
-
 // oldest is the oldest copy that will do: 0 for the tariff's own limit, else younger than the last purge.
 func (r *Router) oldest(v *view, t *Tariff) time.Duration {
 	oldest := time.Duration(0)
@@ -1212,22 +986,6 @@
 	return oldest
 }
 
-// ring is a consistent-hash ring; pastRing one that was replaced.
-type ring struct {
-	points  []point
-	members []int32
-}
-
-type point struct {
-	at uint64
-	n  int32
-}
-
-type pastRing struct {
-	ring  ring
-	until time.Duration
-}
-
 // ringPoints a member evens the arcs to some six in a hundred. pastRings are kept for the relay: a deploy
 // changes the list every few seconds.
 const (
@@ -1235,108 +993,6 @@
 	pastRings  = 3
 )
 
-func (r *Router) newRing(members []int32) ring {
-	g, total := ring{members: members}, 0.0
-	for _, n := range members {
-		total += r.nodes[n].weight
-	}
-	for _, n := range members {
-		count := ringPoints
-		if total > 0 {
-			count = max(1, int(math.Round(ringPoints*r.nodes[n].weight/total*float64(len(members)))))
-		}
-		h := mix(uint64(r.nodes[n].id))
-		for range count {
-			h = mix(h + 0x9e3779b97f4a7c15)
-			g.points = append(g.points, point{h, n})
-		}
-	}
-	slices.SortFunc(g.points, func(a, b point) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.n, b.n)) })
-	return g
-}
-
-// walk visits the members in ring order from the hash on, and returns the first that will do.
-func (r *Router) walk(g *ring, hash uint64, does func(int32) bool) int32 {
-	from, _ := slices.BinarySearchFunc(g.points, hash, func(p point, h uint64) int { return cmp.Compare(p.at, h) })
-	r.walks++
-	walk := r.walks
-	for i, left := 0, len(g.members); left > 0 && i < len(g.points); i++ {
-		n := g.points[(from+i)%len(g.points)].n
-		if r.nodes[n].seen == walk {
-			continue
-		}
-		r.nodes[n].seen = walk
-		left--
-		if does(n) {
-			return n
-		}
-	}
-	return none
-}
-
-// list follows the list of nodes. Caches of other locations are passed over.
-func (r *Router) list(e *Event) {
-	if e.List == ListFailed {
-		r.timer(200*ms+time.Duration(r.rng.float()*float64(300*ms)), timerList)
-		return
-	}
-	r.walks++
-	for i := range e.Members {
-		m := &e.Members[i]
-		n, known := r.index[m.Node]
-		if !known {
-			k := roleCache
-			switch m.Kind {
-			case r.set.ParentKind:
-				k = roleParent
-			case r.set.OriginKind:
-				k = roleOrigin
-			}
-			if m.State == Gone || k == roleCache && m.Zone != r.set.Zone {
-				continue
-			}
-			n = r.place()
-			r.index[m.Node] = n
-			r.nodes[n] = node{id: m.Node, role: k, zone: m.Zone, cell: m.Cell, started: LongAgo, heard: r.now}
-			if k == roleOrigin {
-				r.origin = n
-			}
-		}
-		d := &r.nodes[n]
-		d.seen, d.weight = r.walks, m.Weight
-		if m.Started > d.started {
-			d.started, d.health, d.pipe.room = m.Started, health{}, 0
-		}
-		r.update(d, m.State)
-	}
-	for n := range r.nodes {
-		if d := &r.nodes[n]; e.List != ListChanges && d.seen != r.walks {
-			r.update(d, Gone)
-		}
-	}
-	r.rebuild()
-}
-
-// update keeps the time at which a node was first told to leave.
-func (r *Router) update(d *node, s State) {
-	if s != Ready && d.state == Ready {
-		d.told = r.now
-	}
-	d.state = s
-}
-
-// place finds room for a new node: that of one long gone, else more.
-func (r *Router) place() int32 {
-	for i := range r.nodes {
-		if d := &r.nodes[i]; d.state == Gone && d.pipe.busy < 0.001 && r.now-d.told > 2*relayFor {
-			delete(r.index, d.id)
-			return int32(i)
-		}
-	}
-	r.nodes = append(r.nodes, node{})
-	return int32(len(r.nodes) - 1)
-}
-
 // rebuild makes the rings anew and keeps the last ones for the relay.
 func (r *Router) rebuild() {
 	var caches, parents []int32
@@ -1357,35 +1013,3 @@
 	}
 	r.caches, r.parents = r.newRing(caches), r.newRing(parents)
 }
-
-// mean is a moving mean of times: a plain one at first, then at the pace given.
-type mean struct {
-	value float64
-	n     int
-}
-
-func (m *mean) add(d time.Duration, pace float64) {
-	m.n++
-	m.value += (float64(d) - m.value) * max(pace, 1/float64(m.n))
-}
-
-func (m *mean) get() time.Duration { return time.Duration(m.value) }
-
-// mix spreads a number over 64 bits (the finisher of splitmix64).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// pcg is a permuted congruential generator (PCG-XSH-RR 64/32).
-type pcg struct{ state uint64 }
-
-func newPCG(seed uint64) pcg { return pcg{mix(seed) | 1} }
-
-func (p *pcg) float() float64 {
-	s := p.state
-	p.state = s*6364136223846793005 + 1442695040888963407
-	x, k := uint32((s>>18^s)>>27), uint32(s>>59)
-	return float64(x>>k|x<<(-k&31)) / (1 << 32)
-}
--- /dev/null
+++ b/rules/state.go
@@ -0,0 +1,379 @@
+package rules
+
+// This file holds the state of a router and the plain machinery around it: ids in slabs, rings, moving means, the
+// generator of chance. Nothing here decides anything.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+type role uint8
+
+const (
+	roleCache role = iota
+	roleParent
+	roleOrigin
+)
+
+// none stands for no node, no view.
+const none = int32(-1)
+
+// node is what the router knows of a cache of its location, a parent or the origin.
+type node struct {
+	id      NodeID
+	role    role
+	zone    ZoneID
+	cell    CellID
+	weight  float64
+	state   State
+	told    time.Duration // when told that it drains or is gone
+	started time.Duration
+	pipe    pipe // its link out, as far as this router's transfers show it
+	health  health
+	heard   time.Duration // last sign of life
+	full    time.Duration // until then it has no place for a fill
+	wait    time.Duration // usual time to the first byte of a fill that it holds
+	carries rate          // sending time a second that it has answered in
+	spent   rate          // sending time a second that it was sent lately
+	load    float64       // its last report of how busy it is
+	seen    int           // last walk of a ring that met it
+}
+
+type leg struct {
+	node, source int32
+	sent, expect time.Duration // expect: predicted time to its end
+	duty         float64       // part of its time in which it uses the link
+	gate         float64       // part of its time in which it may wait for the origin
+	out, ran     bool          // still out; may have run
+	nudged       bool          // found overdue already
+	filled       bool          // predicted to need a fill
+}
+
+// view is a view in hand, or one whose last legs have yet to end.
+type view struct {
+	id        ViewID
+	tariff    TariffID
+	object    ObjectID
+	group     GroupID
+	hash      uint64
+	end, due  time.Duration // end: the client gives up
+	sending   time.Duration // to send it at full pace
+	again     time.Duration // when a write is tried again, 0: not
+	sized     bool          // the size was told
+	spare     bool          // over its tenant's allowance
+	open      bool
+	streaming bool
+	stage     stage
+	cache     int32 // the cache whose turn it is
+	legs      [maxLegs]leg
+	n, outs   int
+}
+
+// allowance is a tenant's bucket of views within its share.
+type allowance struct {
+	left float64
+	at   time.Duration
+}
+
+// Router decides for one router instance.
+type Router struct {
+	set     Settings
+	rng     pcg
+	now     time.Duration
+	acts    []Action
+	nodes   []node
+	index   map[NodeID]int32
+	origin  int32
+	caches  ring
+	parents ring
+	past    []pastRing
+	walks   int
+	views   []view
+	free    []int32
+	byID    map[ViewID]int32
+	memory  []memo
+	rows    []row
+	tenants []allowance
+	inlet   pipe // the location's link in, as this router's fills show it
+	gate    gate
+	retries float64 // further legs that may be spent
+	purges  []purge
+	share   float64 // this router's part of its location's views
+	probed  int
+	probeAt time.Duration
+}
+
+// memo is what is recalled of an object.
+type memo struct {
+	key     uint64
+	seen    time.Duration
+	sending time.Duration
+	at      int32
+	count   uint8
+}
+
+type purge struct {
+	object ObjectID // 0: the whole group
+	group  GroupID
+	at     time.Duration
+}
+
+// ring is a consistent-hash ring; pastRing one that was replaced.
+type ring struct {
+	points  []point
+	members []int32
+}
+
+type point struct {
+	at uint64
+	n  int32
+}
+
+type pastRing struct {
+	ring  ring
+	until time.Duration
+}
+
+// health follows a cache or a parent through its failures.
+type health struct {
+	out    bool
+	silent bool          // it went out without a word: it may have been restarted
+	rate   float64       // recent share of failures
+	since  time.Duration // when it went out
+	until  time.Duration // no trial before
+	pause  time.Duration
+	goods  int
+}
+
+// rate is a fading sum over a span, divided by it; most is its slowly fading peak.
+type rate struct {
+	value, most float64
+	at          time.Duration
+}
+
+// row is what the module keeps by tariff: the usual sending time at full pace, or the time of a write.
+type row struct{ usual mean }
+
+// pipe is a link as this router's own transfers show it: room is how many fit at full pace, 0 for no evidence.
+// Where others share the link, room is this router's part.
+type pipe struct{ busy, room float64 }
+
+func (r *Router) act(a Action) { r.acts = append(r.acts, a) }
+
+func (r *Router) timer(wait time.Duration, name uint64) {
+	r.act(Action{Kind: ActionTimer, Wait: wait, Timer: name})
+}
+
+func (r *Router) find(id ViewID) *view {
+	if i, held := r.byID[id]; held {
+		return &r.views[i]
+	}
+	return nil
+}
+
+func (r *Router) take() int32 {
+	if n := len(r.free); n > 0 {
+		i := r.free[n-1]
+		r.free = r.free[:n-1]
+		return i
+	}
+	r.views = append(r.views, view{})
+	return int32(len(r.views) - 1)
+}
+
+func (r *Router) release(v *view) {
+	if i, held := r.byID[v.id]; held && !v.open && v.outs == 0 {
+		delete(r.byID, v.id)
+		r.free = append(r.free, i)
+	}
+}
+
+func (r *Router) recall(v *view) *memo {
+	if m := &r.memory[v.hash%memorySize]; m.key == v.hash {
+		return m
+	}
+	return nil
+}
+
+func (r *Router) remember(v *view) *memo {
+	m := &r.memory[v.hash%memorySize]
+	if m.key != v.hash {
+		*m = memo{key: v.hash, at: none}
+	}
+	return m
+}
+
+func (r *Router) asked(v *view, n int32) bool {
+	for i := range v.n {
+		if v.legs[i].node == n {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *rate) now(now, over time.Duration) float64 {
+	return f.value * math.Exp(-float64(now-f.at)/float64(max(over, ms)))
+}
+
+func (f *rate) add(x float64, now, over time.Duration) {
+	f.value = f.now(now, over) + x/max(over, ms).Seconds()
+	f.most = max(f.most*math.Exp(-float64(now-f.at)/float64(mostFor)), f.value)
+	f.at = now
+}
+
+func (r *Router) newRing(members []int32) ring {
+	g, total := ring{members: members}, 0.0
+	for _, n := range members {
+		total += r.nodes[n].weight
+	}
+	for _, n := range members {
+		count := ringPoints
+		if total > 0 {
+			count = max(1, int(math.Round(ringPoints*r.nodes[n].weight/total*float64(len(members)))))
+		}
+		h := mix(uint64(r.nodes[n].id))
+		for range count {
+			h = mix(h + 0x9e3779b97f4a7c15)
+			g.points = append(g.points, point{h, n})
+		}
+	}
+	slices.SortFunc(g.points, func(a, b point) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.n, b.n)) })
+	return g
+}
+
+// walk visits the members in ring order from the hash on, and returns the first that will do.
+func (r *Router) walk(g *ring, hash uint64, does func(int32) bool) int32 {
+	from, _ := slices.BinarySearchFunc(g.points, hash, func(p point, h uint64) int { return cmp.Compare(p.at, h) })
+	r.walks++
+	walk := r.walks
+	for i, left := 0, len(g.members); left > 0 && i < len(g.points); i++ {
+		n := g.points[(from+i)%len(g.points)].n
+		if r.nodes[n].seen == walk {
+			continue
+		}
+		r.nodes[n].seen = walk
+		left--
+		if does(n) {
+			return n
+		}
+	}
+	return none
+}
+
+// mean is a moving mean of times: a plain one at first, then at the pace given.
+type mean struct {
+	value float64
+	n     int
+}
+
+func (m *mean) add(d time.Duration, pace float64) {
+	m.n++
+	m.value += (float64(d) - m.value) * max(pace, 1/float64(m.n))
+}
+
+func (m *mean) get() time.Duration { return time.Duration(m.value) }
+
+// mix spreads a number over 64 bits (the finisher of splitmix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// pcg is a permuted congruential generator (PCG-XSH-RR 64/32).
+type pcg struct{ state uint64 }
+
+func newPCG(seed uint64) pcg { return pcg{mix(seed) | 1} }
+
+func (p *pcg) float() float64 {
+	s := p.state
+	p.state = s*6364136223846793005 + 1442695040888963407
+	x, k := uint32((s>>18^s)>>27), uint32(s>>59)
+	return float64(x>>k|x<<(-k&31)) / (1 << 32)
+}
+
+// update keeps the time at which a node was first told to leave.
+func (r *Router) update(d *node, s State) {
+	if s != Ready && d.state == Ready {
+		d.told = r.now
+	}
+	d.state = s
+}
+
+// place finds room for a new node: that of one long gone, else more.
+func (r *Router) place() int32 {
+	for i := range r.nodes {
+		if d := &r.nodes[i]; d.state == Gone && d.pipe.busy < 0.001 && r.now-d.told > 2*relayFor {
+			delete(r.index, d.id)
+			return int32(i)
+		}
+	}
+	r.nodes = append(r.nodes, node{})
+	return int32(len(r.nodes) - 1)
+}
+
+// close ends a view: legs still out are cancelled, and its place is used again when they have ended.
+func (r *Router) close(v *view) {
+	v.open = false
+	for i := range v.n {
+		if v.legs[i].out && r.set.Cancel && !v.streaming {
+			r.act(Action{Kind: ActionCancel, View: v.id, Leg: LegNo(i)})
+		}
+	}
+	r.release(v)
+}
+
+// hold counts a leg at the links that it uses, or takes it off again.
+func (r *Router) hold(l *leg, sign float64) {
+	r.nodes[l.node].pipe.busy += sign * l.duty
+	if l.filled && r.nodes[l.source].role != roleCache {
+		r.inlet.busy += sign * l.duty
+	}
+}
+
+func (r *Router) purged(e *Event) {
+	r.purges = slices.DeleteFunc(r.purges, func(p purge) bool { return r.now-p.at > r.set.PurgeDone })
+	r.purges = append(r.purges, purge{e.Object, e.Group, r.now - e.Ago})
+}
+
+// enlist takes what the list says of the nodes. Caches of other locations are passed over.
+func (r *Router) enlist(e *Event) {
+	r.walks++
+	for i := range e.Members {
+		m := &e.Members[i]
+		n, known := r.index[m.Node]
+		if !known {
+			k := roleCache
+			switch m.Kind {
+			case r.set.ParentKind:
+				k = roleParent
+			case r.set.OriginKind:
+				k = roleOrigin
+			}
+			if m.State == Gone || k == roleCache && m.Zone != r.set.Zone {
+				continue
+			}
+			n = r.place()
+			r.index[m.Node] = n
+			r.nodes[n] = node{id: m.Node, role: k, zone: m.Zone, cell: m.Cell, started: LongAgo, heard: r.now}
+			if k == roleOrigin {
+				r.origin = n
+			}
+		}
+		d := &r.nodes[n]
+		d.seen, d.weight = r.walks, m.Weight
+		if m.Started > d.started {
+			d.started, d.health, d.pipe.room = m.Started, health{}, 0
+		}
+		r.update(d, m.State)
+	}
+	for n := range r.nodes {
+		if d := &r.nodes[n]; e.List != ListChanges && d.seen != r.walks {
+			r.update(d, Gone)
+		}
+	}
+}
