--- a/rules/rules.go
+++ b/rules/rules.go
@@ -266,7 +266,7 @@
 		}
 	}
 	// Nothing can be filled in time: what the cache holds may still do.
-	return v.n == 0 && r.send(v, stageLook, v.cache, v.cache, 0)
+	return v.n == 0 && r.inTime(v, v.cache, none) && r.send(v, stageLook, v.cache, v.cache, 0)
 }
 
 // reaches says whether a fill from src that has to wait for the origin may go: the gate has room, and the
