--- a/rules/rules.go
+++ b/rules/rules.go
@@ -252,12 +252,12 @@
 	}
 	p, failing := r.parent(v)
 	if st == stageOrigin || failing || p == none {
-		if r.reaches(v, v.cache, r.origin) && r.send(v, stageOrigin, v.cache, r.origin, 0) {
+		if !v.filledFrom(r.origin) && r.reaches(v, v.cache, r.origin) && r.send(v, stageOrigin, v.cache, r.origin, 0) {
 			return true
 		}
 		p = r.nextParent(v)
 	}
-	if p != none && r.inTime(v, v.cache, p) {
+	if p != none && !v.filledFrom(p) && r.inTime(v, v.cache, p) {
 		if r.reaches(v, v.cache, p) {
 			return r.send(v, stageHome, v.cache, p, 0)
 		}
@@ -279,6 +279,9 @@
 	if filled && src != r.origin {
 		expect += r.gate.wait
 	}
+	if r.now >= v.due {
+		return false
+	}
 	return r.gate.out < gateLeast || r.gate.out < r.gate.window && r.now+expect <= v.due
 }
 
@@ -331,15 +334,21 @@
 	if l.filled {
 		r.nodes[src].spent.add(usual.Seconds(), r.now, r.set.FallFor)
 	}
-	if how&HowHoldsOnly == 0 && src != n && r.nodes[src].role != roleCache && !t.Write {
-		l.gate = 1 - l.duty
-		if src != r.origin {
+	l.held = how&HowHoldsOnly != 0
+	if !l.held && src != n && r.nodes[src].role != roleCache && !t.Write {
+		l.gate = float64(r.gate.wait+ms) / float64(r.gate.wait+v.sending+ms)
+		if src != r.origin && v.stage != stageHeld {
 			l.gate *= r.gate.via
 		}
 		r.gate.out += l.gate
 	}
 	r.hold(&l, 1)
 	a := Action{Kind: ActionGet, View: v.id, Node: r.nodes[n].id, Source: r.nodes[src].id, How: how}
+	if l.filled && l.gate > 0 && v.sized && r.now-r.gate.cut < troubled {
+		// While the origin is in trouble, a fill that has not begun by the due time holds a place, here and
+		// there, for nothing.
+		a.Limit = max(v.due-r.now, 0) + v.sending
+	}
 	if !t.Write {
 		// Rule 5: nothing older than the last purge will do.
 		a.Age = r.oldest(v, t)
@@ -440,12 +449,20 @@
 	case e.Final:
 		r.close(v)
 	default:
-		r.follow(v, steps[v.stage][end])
+		r.follow(v, end)
 	}
 }
 
 // follow takes a step for an open view.
-func (r *Router) follow(v *view, s step) {
+func (r *Router) follow(v *view, end ending) {
+	s := steps[v.stage][end]
+	// A further leg after a failure, unlike one after a miss, is bounded: else it multiplies a trouble's load.
+	if s.effect != turnBack && end != endLacks {
+		if r.retries < 1 || r.now >= v.due {
+			s.effect = turnBack
+		}
+		r.retries--
+	}
 	switch {
 	case r.set.Tariffs[v.tariff].Write:
 		if wait := writeAgain << v.n; s.effect != turnBack && r.now+wait < v.due && r.mayRepeat(v, r.origin) {
@@ -456,8 +473,7 @@
 		if r.fill(v, s.next) {
 			return
 		}
-	case s.effect == retry && r.retries >= 1:
-		r.retries--
+	case s.effect == retry:
 		r.start(v)
 		return
 	}
@@ -503,7 +519,7 @@
 	via := 0.0
 	if e.Note == NoteViaOrigin || s.role == roleOrigin {
 		via = 1
-		r.gate.learn(e.Waited, t.Due, r.now)
+		r.gate.learn(e.Waited, e.Waited > t.Due/2, r.now >= v.due, r.now)
 	} else {
 		s.wait += (e.Waited - s.wait) / 8
 	}
@@ -588,6 +604,10 @@
 				silent = l.source
 			}
 			if silent == none {
+				if v.sized && l.filled && l.gate > 0 && r.now-l.sent > 2*v.sending+r.gate.wait {
+					r.gate.wait = r.now - l.sent // at least
+					r.gate.fail(r.now)
+				}
 				continue
 			}
 			r.bad(silent, badHard)
@@ -750,12 +770,7 @@
 // failing parent's objects.
 func (r *Router) nextParent(v *view) int32 {
 	return r.walk(&r.parents, v.hash, func(c int32) bool {
-		for i := range v.n {
-			if v.legs[i].source == c {
-				return false
-			}
-		}
-		return !r.nodes[c].health.out && r.admits(c, v.hash) && r.affordable(c)
+		return !v.filledFrom(c) && !r.nodes[c].health.out && r.admits(c, v.hash) && r.affordable(c)
 	})
 }
 
@@ -846,8 +861,8 @@
 }
 
 // gate limits how many fills that wait for the origin are out at once. It closes when the origin keeps views
-// waiting for half their due time and three times its best, or fails, and opens again with each answer in good
-// time. Guards against a slow, crowded or stopped origin, and against pushing it over; also holds back fills
+// waiting for half their due time and they are late for it, or for three times its best, or fails, and opens again
+// with each answer in good time. Guards against a slow, crowded or stopped origin, and against pushing it over; also holds back fills
 // while many caches are empty. It hurts when a few slow answers shut it: then views are turned back that the
 // origin could have served.
 type gate struct {
@@ -857,23 +872,26 @@
 	cut         time.Duration
 }
 
-// gateStart is wide: the gate matters only when the origin's answers say so. gateLeast keeps trials going.
-// Answers within gateEach were under way together and tell one thing.
+// gateStart fits a usual load from the start on, but no herd of routers that know nothing yet; gateMost is wide: the
+// gate matters when the origin's answers say so. gateLeast keeps trials going. Answers within gateEach were under
+// way together and tell one thing.
 const (
-	gateStart = 256
+	gateStart = 8
+	gateMost  = 64
 	gateLeast = 1
 	gateEach  = 100 * ms
+	troubled  = 2 * time.Second
 )
 
-func (g *gate) learn(wait, due, now time.Duration) {
+func (g *gate) learn(wait time.Duration, long, late bool, now time.Duration) {
 	if g.wait == 0 {
 		g.wait, g.best = wait, wait
 	}
 	g.wait += (wait - g.wait) / 4
 	g.best = min(g.best+g.best/200, wait)
-	if wait > due/2 && wait > 3*g.best {
+	if long && (late || wait > 3*g.best) {
 		g.fail(now)
-	} else if g.window < gateStart {
+	} else if g.window < gateMost {
 		g.window += 0.5
 	}
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -49,6 +49,7 @@
 	gate         float64       // part of its time in which it may wait for the origin
 	out, ran     bool          // still out; may have run
 	nudged       bool          // found overdue already
+	held         bool          // the source gives only what it holds
 	filled       bool          // predicted to need a fill
 }
 
@@ -206,6 +207,16 @@
 	return m
 }
 
+// filledFrom tells whether a source was asked for all that it can do.
+func (v *view) filledFrom(src int32) bool {
+	for i := range v.n {
+		if l := &v.legs[i]; l.source == src && !l.held {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Router) asked(v *view, n int32) bool {
 	for i := range v.n {
 		if v.legs[i].node == n {
