--- a/rules/rules.go
+++ b/rules/rules.go
@@ -861,13 +861,13 @@
 }
 
 // gate limits how many fills that wait for the origin are out at once. It closes when the origin keeps views
-// waiting for half their due time and they are late for it, or for three times its best, or fails, and opens again
+// waiting for half their due time and they are late for it, or for three times its calm wait, or fails, and opens again
 // with each answer in good time. Guards against a slow, crowded or stopped origin, and against pushing it over; also holds back fills
 // while many caches are empty. It hurts when a few slow answers shut it: then views are turned back that the
 // origin could have served.
 type gate struct {
 	window, out float64
-	wait, best  time.Duration // usual and shortest time to the first byte by way of the origin
+	wait, calm  time.Duration // time to the first byte by way of the origin: lately, and when all is well
 	via         float64       // share of the parents' fills that went to the origin
 	cut         time.Duration
 }
@@ -877,7 +877,7 @@
 // way together and tell one thing.
 const (
 	gateStart = 8
-	gateMost  = 64
+	gateMost  = 24
 	gateLeast = 1
 	gateEach  = 100 * ms
 	troubled  = 2 * time.Second
@@ -885,11 +885,15 @@
 
 func (g *gate) learn(wait time.Duration, long, late bool, now time.Duration) {
 	if g.wait == 0 {
-		g.wait, g.best = wait, wait
+		g.wait, g.calm = wait, wait
 	}
 	g.wait += (wait - g.wait) / 4
-	g.best = min(g.best+g.best/200, wait)
-	if long && (late || wait > 3*g.best) {
+	if wait < g.calm {
+		g.calm += (wait - g.calm) / 20
+	} else {
+		g.calm += min(wait-g.calm, g.calm) / 200
+	}
+	if long && (late || wait > 3*g.calm) {
 		g.fail(now)
 	} else if g.window < gateMost {
 		g.window += 0.5
@@ -899,7 +903,7 @@
 func (g *gate) fail(now time.Duration) {
 	if now-g.cut >= gateEach {
 		g.cut = now
-		g.window = max(gateLeast, min(g.window, g.out+1)*0.7)
+		g.window = max(gateLeast, g.window*0.75)
 	}
 }
 
