--- a/rules/rules.go
+++ b/rules/rules.go
@@ -878,7 +878,7 @@
 const (
 	gateStart = 8
 	gateMost  = 24
-	gateLeast = 1
+	gateLeast = 3
 	gateEach  = 100 * ms
 	troubled  = 2 * time.Second
 )
