--- a/rules/rules.go
+++ b/rules/rules.go
@@ -519,7 +519,7 @@
 	via := 0.0
 	if e.Note == NoteViaOrigin || s.role == roleOrigin {
 		via = 1
-		r.gate.learn(e.Waited, e.Waited > t.Due/2, r.now >= v.due, r.now)
+		r.gate.learn(e.Waited, e.Waited > t.Due/2 && r.now >= v.due, r.now)
 	} else {
 		s.wait += (e.Waited - s.wait) / 8
 	}
@@ -605,8 +605,7 @@
 			}
 			if silent == none {
 				if v.sized && l.filled && l.gate > 0 && r.now-l.sent > 2*v.sending+r.gate.wait {
-					r.gate.wait = r.now - l.sent // at least
-					r.gate.fail(r.now)
+					r.gate.learn(r.now-l.sent, true, r.now)
 				}
 				continue
 			}
@@ -867,7 +866,7 @@
 // origin could have served.
 type gate struct {
 	window, out float64
-	wait, calm  time.Duration // time to the first byte by way of the origin: lately, and when all is well
+	wait        time.Duration // usual time to the first byte by way of the origin
 	via         float64       // share of the parents' fills that went to the origin
 	cut         time.Duration
 }
@@ -878,22 +877,21 @@
 const (
 	gateStart = 8
 	gateMost  = 24
-	gateLeast = 3
+	gateLeast = 1
 	gateEach  = 100 * ms
 	troubled  = 2 * time.Second
 )
 
-func (g *gate) learn(wait time.Duration, long, late bool, now time.Duration) {
+func (g *gate) learn(wait time.Duration, late bool, now time.Duration) {
+	// A running median: waits are skewed, and a few long ones don't make the next one late.
 	if g.wait == 0 {
-		g.wait, g.calm = wait, wait
-	}
-	g.wait += (wait - g.wait) / 4
-	if wait < g.calm {
-		g.calm += (wait - g.calm) / 20
+		g.wait = wait
+	} else if wait > g.wait {
+		g.wait += g.wait / 10
 	} else {
-		g.calm += min(wait-g.calm, g.calm) / 200
+		g.wait -= g.wait / 10
 	}
-	if long && (late || wait > 3*g.calm) {
+	if late {
 		g.fail(now)
 	} else if g.window < gateMost {
 		g.window += 0.5
