--- a/rules/rules.go
+++ b/rules/rules.go
@@ -36,18 +36,15 @@
 	return r
 }
 
-// Timers.
+// Timers. tick is how often views in hand are looked over: well under the shortest due time, and cheap.
+// followWait is how long after a failed call the list is asked for again, and as much more by chance.
 const (
-	timerTick = iota
-	timerList
+	timerTick  = 0
+	timerList  = 1
+	tick       = 20 * ms
+	followWait = 250 * ms
 )
 
-// tick is how often views in hand are looked over: well under the shortest due time, and cheap.
-const tick = 20 * ms
-
-// followWait is how long after a failed call the list is asked for again, and as much more by chance.
-const followWait = 250 * ms
-
 // Start begins the router's life.
 func (r *Router) Start(now time.Duration, acts []Action) []Action {
 	r.now, r.acts = now, acts
@@ -61,17 +58,18 @@
 // Handle takes one event and returns the actions that it calls for, appended to acts.
 func (r *Router) Handle(now time.Duration, e *Event, acts []Action) []Action {
 	r.now, r.acts = now, acts
+	v := r.find(e.View)
 	switch e.Kind {
 	case EventView:
 		r.arrive(e)
 	case EventLegEnd:
-		r.legEnd(e)
+		r.legEnd(v, e)
 	case EventStream:
-		if v := r.find(e.View); v != nil {
+		if v != nil {
 			v.streaming = true
 		}
 	case EventGone:
-		if v := r.find(e.View); v != nil {
+		if v != nil {
 			r.close(v)
 		}
 	case EventList:
@@ -138,16 +136,18 @@
 	effect effect
 }
 
-// steps says what follows when a leg has ended without an answer. Where a next stage cannot be gone to (no such
-// node, no budget, not in time), fill and start go on to a later one or give up.
+var stop, next = step{effect: turnBack}, step{effect: retry}
+
+// steps says what follows when a leg has ended without an answer. Where a next stage cannot be gone to (no
+// such node, no budget, not in time), fill and start go on to a later one or give up.
 var steps = [stages][endings]step{
-	//            endLacks             endSource            endOrigin        endPlace         endCache         endLate
-	stageHome:   {{stageOrigin, fill}, {stageOrigin, fill}, {0, turnBack}, {0, retry}, {0, retry}, {0, turnBack}},
-	stageRelay:  {{stageHome, fill}, {stageHome, fill}, {stageHome, fill}, {0, retry}, {0, retry}, {0, turnBack}},
-	stageHeld:   {{stageHome, fill}, {stageOrigin, fill}, {0, turnBack}, {0, retry}, {0, retry}, {0, turnBack}},
-	stageOrigin: {{0, turnBack}, {stageHome, fill}, {0, turnBack}, {0, retry}, {0, retry}, {0, turnBack}},
-	stageDirect: {{0, retry}, {0, retry}, {0, turnBack}, {0, retry}, {0, retry}, {0, turnBack}},
-	stageLook:   {{0, turnBack}, {0, turnBack}, {0, turnBack}, {0, turnBack}, {0, retry}, {0, turnBack}},
+	//            lacks                source               origin         place       cache       late
+	stageHome:   {{stageOrigin, fill}, {stageOrigin, fill}, stop, next, next, stop},
+	stageRelay:  {{stageHome, fill}, {stageHome, fill}, {stageHome, fill}, next, next, stop},
+	stageHeld:   {{stageHome, fill}, {stageOrigin, fill}, stop, next, next, stop},
+	stageOrigin: {stop, {stageHome, fill}, stop, next, next, stop},
+	stageDirect: {next, next, stop, next, next, stop},
+	stageLook:   {stop, stop, stop, stop, next, stop},
 }
 
 // ended tells from an answer what failed. Without notes only the outcome speaks.
@@ -205,8 +205,8 @@
 	r.start(v)
 }
 
-// Further legs after a failure are bounded to this many a view on average, with a reserve for a burst: enough for
-// a fifth of all views to fail once, too few to double the load when everything fails.
+// Further legs after a failure are bounded to this many a view on average, with a reserve for a burst: enough
+// for a fifth of all views to fail once, too few to double the load when everything fails.
 const (
 	retriesEach = 0.25
 	retriesMost = 20
@@ -241,18 +241,19 @@
 	r.giveUp(v)
 }
 
-// fill sends the view to its cache with the source of the stage, or of a later stage where that one cannot
-// be gone to. It reports whether a leg went out.
+// fill sends the view to its cache with the source of the stage, or of a later stage where that one cannot be
+// gone to. It reports whether a leg went out.
 func (r *Router) fill(v *view, st stage) bool {
 	if st == stageRelay {
-		if f := r.former(v); f != none && r.inTime(v, v.cache, f) && r.send(v, stageRelay, v.cache, f, HowHoldsOnly) {
+		f := r.former(v)
+		if f != none && r.inTime(v, v.cache, f) && r.send(v, stageRelay, v.cache, f, HowHoldsOnly) {
 			return true
 		}
 		st = stageHome
 	}
 	p, failing := r.parent(v)
-	if st == stageOrigin || failing || p == none {
-		if !v.filledFrom(r.origin) && r.reaches(v, v.cache, r.origin) && r.send(v, stageOrigin, v.cache, r.origin, 0) {
+	if o := r.origin; st == stageOrigin || failing || p == none {
+		if !v.filledFrom(o) && r.reaches(v, v.cache, o) && r.send(v, stageOrigin, v.cache, o, 0) {
 			return true
 		}
 		p = r.nextParent(v)
@@ -362,6 +363,7 @@
 			a.How |= HowRenew
 		}
 	}
+	l.kept = a.Keep > 0
 	v.legs[v.n] = l
 	v.n++
 	v.outs++
@@ -391,13 +393,14 @@
 	return true
 }
 
-// usable: listed ready, or told of its leaving so lately that a leg may still name it. A tenth of the grace is
-// left unused, so that a leg sent at its end does not reach the node after it.
+// usable: listed ready, or told of its leaving so lately that a leg may still name it. A tenth of the grace
+// is left unused, so that a leg sent at its end does not reach the node after it.
 func (r *Router) usable(n int32) bool {
 	return n != none && (r.nodes[n].state == Ready || r.now-r.nodes[n].told < r.set.DrainGrace*9/10)
 }
 
-// backoff is the middle of the time to come back: about a due time, spread so that clients don't return at once.
+// backoff is the middle of the time to come back: about a due time, spread so that clients don't return at
+// once.
 const backoff = 300 * ms
 
 // giveUp answers a view for good, unless a leg is still out that may answer it.
@@ -422,8 +425,7 @@
 }
 
 // legEnd learns from an outcome and takes the step that follows.
-func (r *Router) legEnd(e *Event) {
-	v := r.find(e.View)
+func (r *Router) legEnd(v *view, e *Event) {
 	if v == nil || int(e.Leg) >= v.n || !v.legs[e.Leg].out {
 		return
 	}
@@ -456,12 +458,12 @@
 // follow takes a step for an open view.
 func (r *Router) follow(v *view, end ending) {
 	s := steps[v.stage][end]
-	// A further leg after a failure, unlike one after a miss, is bounded: else it multiplies a trouble's load.
+	// A further leg after a failure, unlike one after a miss, is bounded: else it multiplies a trouble's
+	// load.
 	if s.effect != turnBack && end != endLacks {
-		if r.retries < 1 || r.now >= v.due {
-			s.effect = turnBack
+		if r.retries--; r.retries < 0 || r.now >= v.due {
+			r.retries, s.effect = max(0, r.retries), turnBack
 		}
-		r.retries--
 	}
 	switch {
 	case r.set.Tariffs[v.tariff].Write:
@@ -491,7 +493,9 @@
 	filled := e.Note == NoteFilled || e.Note == NoteViaOrigin
 	n.carries.add(v.sending.Seconds(), r.now, time.Second)
 	m := r.remember(v)
-	m.at, m.seen = l.node, r.now
+	if m.seen = r.now; l.kept || e.Note == NoteHit {
+		m.at = l.node
+	}
 	stretch := 1.0
 	if v.sending > 0 {
 		stretch = float64(e.Took-e.Waited) / float64(v.sending)
@@ -574,8 +578,8 @@
 // fullFor is how long a cache that turned a view away is asked for no fills: some transfers end meanwhile.
 const fullFor = 100 * ms
 
-// overdue is how far past twice its predicted time a leg may be before silence counts: a short pause of a node
-// or a resent packet should fit.
+// overdue is how far past twice its predicted time a leg may be before silence counts: a short pause of a
+// node or a resent packet should fit.
 const overdue = 150 * ms
 
 // lookOver sends writes again, and finds overdue legs. One whose node, or source, has shown no sign of life
@@ -629,7 +633,8 @@
 // hundred of the views at most.
 const probeEach = 500 * ms
 
-// probe asks for the state of the location's link, which no answer tells. Without that signal it is not needed.
+// probe asks for the state of the location's link, which no answer tells. Without that signal it is not
+// needed.
 func (r *Router) probe() {
 	if !r.set.Probes || r.set.Reports != ViaProbe || !slices.Contains(r.set.Columns, SignalPipe) ||
 		r.now < r.probeAt || len(r.caches.members) == 0 {
@@ -675,13 +680,14 @@
 			sick++
 		}
 	}
+	heed := 2*sick <= len(r.caches.members)
 	p, failing := r.parent(v)
 	if failing {
 		p = r.origin
 	}
 	first, left := none, spill+1
 	found := r.walk(&r.caches, v.hash, func(c int32) bool {
-		if !r.admits(c, v.hash) || !r.affordable(c) || r.asked(v, c) || 2*sick <= len(r.caches.members) && !r.healthy(c) {
+		if !r.admits(c, v.hash) || !r.affordable(c) || r.asked(v, c) || heed && !r.healthy(c) {
 			return false
 		}
 		if first == none {
@@ -716,8 +722,8 @@
 }
 
 // coldSafety is the part of a cold node's budget that this router allows itself. A fading sum over the window
-// lets a burst of twice the rate through, and other routers' chance must fit too. guessCarries stands for what
-// a warm one carries before any was seen to: one transfer.
+// lets a burst of twice the rate through, and other routers' chance must fit too. guessCarries stands for
+// what a warm one carries before any was seen to: one transfer.
 const (
 	coldSafety   = 0.5
 	guessCarries = 1
@@ -755,8 +761,8 @@
 // remapAfter parts a brief failure of a parent from one that moves its arc: the design's 10 s.
 const remapAfter = 10 * time.Second
 
-// parent names the ring's parent for the object, and whether it is failing for the moment. A parent that
-// has failed for remapAfter has handed its arc to the next one, but for trials.
+// parent names the ring's parent for the object, and whether it is failing for the moment. A parent that has
+// failed for remapAfter has handed its arc to the next one, but for trials.
 func (r *Router) parent(v *view) (p int32, failing bool) {
 	p = r.walk(&r.parents, v.hash, func(c int32) bool {
 		h := &r.nodes[c].health
@@ -765,8 +771,8 @@
 	return p, p != none && !r.healthy(p)
 }
 
-// nextParent is a healthy parent that the view has not been filled from: where the origin cannot be reached for a
-// failing parent's objects.
+// nextParent is a healthy parent that the view has not been filled from: where the origin cannot be reached
+// for a failing parent's objects.
 func (r *Router) nextParent(v *view) int32 {
 	return r.walk(&r.parents, v.hash, func(c int32) bool {
 		return !v.filledFrom(c) && !r.nodes[c].health.out && r.admits(c, v.hash) && r.affordable(c)
@@ -807,7 +813,8 @@
 	return max(1, (p.busy+1)/p.room)
 }
 
-// stretched parts a transfer at full pace, with the noise of its size and way, from one that shared a full link.
+// stretched parts a transfer at full pace, with the noise of its size and way, from one that shared a full
+// link.
 const stretched = 1.25
 
 // learn takes the stretch of a transfer and how many ran beside it. One at full pace shows that more fit than
@@ -859,21 +866,15 @@
 	return r.now+time.Duration(margin*float64(expect)) <= v.due
 }
 
-// gate limits how many fills that wait for the origin are out at once. It closes when the origin keeps views
-// waiting for half their due time and they are late for it, or for three times its calm wait, or fails, and opens again
-// with each answer in good time. Guards against a slow, crowded or stopped origin, and against pushing it over; also holds back fills
+// The gate limits how many fills that wait for the origin are out at once. It closes when views are late
+// after waiting for the origin for half their due time, or it fails, and opens again with each answer in good
+// time. Guards against a slow, crowded or stopped origin, and against pushing it over; also holds back fills
 // while many caches are empty. It hurts when a few slow answers shut it: then views are turned back that the
 // origin could have served.
-type gate struct {
-	window, out float64
-	wait        time.Duration // usual time to the first byte by way of the origin
-	via         float64       // share of the parents' fills that went to the origin
-	cut         time.Duration
-}
-
-// gateStart fits a usual load from the start on, but no herd of routers that know nothing yet; gateMost is wide: the
-// gate matters when the origin's answers say so. gateLeast keeps trials going. Answers within gateEach were under
-// way together and tell one thing.
+//
+// gateStart fits a usual load from the start on, but no herd of routers that know nothing yet; gateMost is
+// wide: the gate matters when the origin's answers say so. gateLeast keeps trials going. Answers within
+// gateEach were under way together and tell one thing.
 const (
 	gateStart = 8
 	gateMost  = 24
@@ -905,14 +906,15 @@
 	}
 }
 
-// A failure moves the rate of failures by this much: an error answer is softer evidence than a lost connection.
+// A failure moves the rate of failures by this much: an error answer is softer evidence than a lost
+// connection.
 const (
 	badSoft = 0.15
 	badHard = 0.3
 )
 
-// sickAt is the rate at which a node goes out: two lost connections, or four errors in a row. Trials begin after
-// firstPause, then at twice the distance up to lastPause; wellAfter good ones in a row end them.
+// sickAt is the rate at which a node goes out: two lost connections, or four errors in a row. Trials begin
+// after firstPause, then at twice the distance up to lastPause; wellAfter good ones in a row end them.
 const (
 	sickAt     = 0.45
 	firstPause = time.Second
@@ -952,7 +954,8 @@
 		return
 	}
 	if h.goods++; h.goods >= wellAfter {
-		// Gone without a word and back: taken for restarted, so cold and empty. A list that lags says so too late.
+		// Gone without a word and back: taken for restarted, so cold and empty. A list that lags says so too
+		// late.
 		if h.silent {
 			d.started = max(d.started, r.now-firstPause)
 		}
@@ -960,8 +963,8 @@
 	}
 }
 
-// memorySize is a power of two, some times what is asked for within heldFor, which is how long a cache is expected
-// to hold what was not asked for again.
+// memorySize is a power of two, some times what is asked for within heldFor, which is how long a cache is
+// expected to hold what was not asked for again.
 const (
 	memorySize = 1 << 14
 	heldFor    = 10 * time.Second
@@ -976,8 +979,8 @@
 // huge is how many times the usual size an object must have to be passed through at first sight.
 const huge = 6
 
-// rank is the rank at which a copy is kept: the lowest at first sight, the next when it is asked for again, none
-// for what is far larger than usual and was never asked for.
+// rank is the rank at which a copy is kept: the lowest at first sight, the next when it is asked for again,
+// none for what is far larger than usual and was never asked for.
 func (r *Router) rank(v *view) uint8 {
 	usual := r.rows[v.tariff].usual.get()
 	switch m := r.recall(v); {
@@ -1012,24 +1015,3 @@
 	ringPoints = 200
 	pastRings  = 3
 )
-
-// rebuild makes the rings anew and keeps the last ones for the relay.
-func (r *Router) rebuild() {
-	var caches, parents []int32
-	for i := range r.nodes {
-		switch d := &r.nodes[i]; {
-		case d.state != Ready:
-		case d.role == roleCache:
-			caches = append(caches, int32(i))
-		case d.role == roleParent:
-			parents = append(parents, int32(i))
-		}
-	}
-	if len(r.caches.members) > 0 && !slices.Equal(caches, r.caches.members) {
-		if len(r.past) == pastRings {
-			r.past = slices.Delete(r.past, 0, 1)
-		}
-		r.past = append(r.past, pastRing{r.caches, r.now})
-	}
-	r.caches, r.parents = r.newRing(caches), r.newRing(parents)
-}
--- a/rules/state.go
+++ b/rules/state.go
@@ -1,7 +1,7 @@
 package rules
 
-// This file holds the state of a router and the plain machinery around it: ids in slabs, rings, moving means, the
-// generator of chance. Nothing here decides anything.
+// This file holds the state of a router and the plain machinery around it: ids in slabs, rings, moving means,
+// the generator of chance. Nothing here decides anything.
 
 import (
 	"cmp"
@@ -51,6 +51,7 @@
 	nudged       bool          // found overdue already
 	held         bool          // the source gives only what it holds
 	filled       bool          // predicted to need a fill
+	kept         bool          // the cache keeps a copy
 }
 
 // view is a view in hand, or one whose last legs have yet to end.
@@ -158,8 +159,8 @@
 // row is what the module keeps by tariff: the usual sending time at full pace, or the time of a write.
 type row struct{ usual mean }
 
-// pipe is a link as this router's own transfers show it: room is how many fit at full pace, 0 for no evidence.
-// Where others share the link, room is this router's part.
+// pipe is a link as this router's own transfers show it: room is how many fit at full pace, 0 for no
+// evidence. Where others share the link, room is this router's part.
 type pipe struct{ busy, room float64 }
 
 func (r *Router) act(a Action) { r.acts = append(r.acts, a) }
@@ -252,13 +253,17 @@
 			g.points = append(g.points, point{h, n})
 		}
 	}
-	slices.SortFunc(g.points, func(a, b point) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.n, b.n)) })
+	slices.SortFunc(g.points, func(a, b point) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.n, b.n))
+	})
 	return g
 }
 
 // walk visits the members in ring order from the hash on, and returns the first that will do.
 func (r *Router) walk(g *ring, hash uint64, does func(int32) bool) int32 {
-	from, _ := slices.BinarySearchFunc(g.points, hash, func(p point, h uint64) int { return cmp.Compare(p.at, h) })
+	from, _ := slices.BinarySearchFunc(g.points, hash, func(p point, h uint64) int {
+		return cmp.Compare(p.at, h)
+	})
 	r.walks++
 	walk := r.walks
 	for i, left := 0, len(g.members); left > 0 && i < len(g.points); i++ {
@@ -388,3 +393,32 @@
 		}
 	}
 }
+
+// gate counts the fills that wait for the origin.
+type gate struct {
+	window, out float64
+	wait        time.Duration // usual time to the first byte by way of the origin
+	via         float64       // share of the parents' fills that went to the origin
+	cut         time.Duration
+}
+
+// rebuild makes the rings anew and keeps the last ones for the relay.
+func (r *Router) rebuild() {
+	var caches, parents []int32
+	for i := range r.nodes {
+		switch d := &r.nodes[i]; {
+		case d.state != Ready:
+		case d.role == roleCache:
+			caches = append(caches, int32(i))
+		case d.role == roleParent:
+			parents = append(parents, int32(i))
+		}
+	}
+	if len(r.caches.members) > 0 && !slices.Equal(caches, r.caches.members) {
+		if len(r.past) == pastRings {
+			r.past = slices.Delete(r.past, 0, 1)
+		}
+		r.past = append(r.past, pastRing{r.caches, r.now})
+	}
+	r.caches, r.parents = r.newRing(caches), r.newRing(parents)
+}
