--- a/rules/rules.go
+++ b/rules/rules.go
@@ -485,7 +485,7 @@
 // learn keeps what a good answer tells of the nodes and links on its way.
 func (r *Router) learn(v *view, l *leg, e *Event) {
 	n, t, row := &r.nodes[l.node], &r.set.Tariffs[v.tariff], &r.rows[v.tariff]
-	r.good(l.node)
+	r.good(l.node, l.sent)
 	if t.Write {
 		row.usual.add(e.Took, 0.1)
 		return
@@ -515,7 +515,7 @@
 	if !filled || s.role == roleCache {
 		return
 	}
-	r.good(l.source)
+	r.good(l.source, l.sent)
 	s.carries.add(v.sending.Seconds(), r.now, time.Second)
 	if v.sending >= 100*ms && (stretch < stretched || stretch > 1.5*n.pipe.stretch()) {
 		r.inlet.learn(stretch, r.inlet.busy+l.duty)
@@ -945,11 +945,15 @@
 	}
 }
 
-func (r *Router) good(n int32) {
+// good takes an answer to a leg sent at that time. One sent before a silence began shows that nothing was lost.
+func (r *Router) good(n int32, sent time.Duration) {
 	d := &r.nodes[n]
 	d.heard = r.now
 	h := &d.health
 	h.rate -= badSoft * h.rate
+	if h.out && h.silent && sent < h.since {
+		*h = health{}
+	}
 	if !h.out {
 		return
 	}
