--- a/rules/rules.go
+++ b/rules/rules.go
@@ -605,6 +605,10 @@
 			if r.nodes[l.node].heard < l.sent {
 				silent = l.node
 			} else if l.filled && l.source != r.origin && r.nodes[l.source].heard < l.sent {
+				if !l.held && r.now-l.sent < 2*(l.expect+r.gate.wait)+overdue {
+					l.nudged = false // it may well wait for the origin
+					continue
+				}
 				silent = l.source
 			}
 			if silent == none {
