--- a/rules/rules.go
+++ b/rules/rules.go
@@ -273,16 +273,13 @@
 // reaches says whether a fill from src that has to wait for the origin may go: the gate has room, and the
 // origin's answers come in time. One at a time goes in any case, else nobody would see it recover.
 func (r *Router) reaches(v *view, n, src int32) bool {
-	if src == none {
+	if src == none || r.now >= v.due {
 		return false
 	}
 	expect, _, filled := r.predict(v, n, src)
 	if filled && src != r.origin {
 		expect += r.gate.wait
 	}
-	if r.now >= v.due {
-		return false
-	}
 	return r.gate.out < gateLeast || r.gate.out < r.gate.window && r.now+expect <= v.due
 }
 
@@ -520,7 +517,7 @@
 	if v.sending >= 100*ms && (stretch < stretched || stretch > 1.5*n.pipe.stretch()) {
 		r.inlet.learn(stretch, r.inlet.busy+l.duty)
 	}
-	via := 0.0
+	via := 0.0 // did the parent have it?
 	if e.Note == NoteViaOrigin || s.role == roleOrigin {
 		via = 1
 		r.gate.learn(e.Waited, e.Waited > t.Due/2 && r.now >= v.due, r.now)
@@ -600,21 +597,20 @@
 			if !l.out || l.nudged || r.now-l.sent < 2*l.expect+overdue || l.node == r.origin {
 				continue
 			}
-			l.nudged = true
 			silent := none
-			if r.nodes[l.node].heard < l.sent {
+			switch {
+			case r.nodes[l.node].heard < l.sent:
 				silent = l.node
-			} else if l.filled && l.source != r.origin && r.nodes[l.source].heard < l.sent {
-				if !l.held && r.now-l.sent < 2*(l.expect+r.gate.wait)+overdue {
-					l.nudged = false // it may well wait for the origin
-					continue
-				}
+			case v.sized && l.filled && l.gate > 0 && !l.slow && r.now-l.sent > 2*v.sending+r.gate.wait:
+				l.slow = true
+				r.gate.learn(r.now-l.sent, true, r.now)
+				continue
+			case !l.filled || !l.held && r.now-l.sent < 2*(l.expect+r.gate.wait)+overdue:
+				continue // it may well wait for the origin
+			case l.source != r.origin && r.set.Tells == TellsAll && r.nodes[l.source].heard < l.sent:
 				silent = l.source
 			}
-			if silent == none {
-				if v.sized && l.filled && l.gate > 0 && r.now-l.sent > 2*v.sending+r.gate.wait {
-					r.gate.learn(r.now-l.sent, true, r.now)
-				}
+			if l.nudged = true; silent == none {
 				continue
 			}
 			r.bad(silent, badHard)
@@ -637,11 +633,10 @@
 // hundred of the views at most.
 const probeEach = 500 * ms
 
-// probe asks for the state of the location's link, which no answer tells. Without that signal it is not
-// needed.
+// probe asks for the state of the location's link, where no answer tells.
 func (r *Router) probe() {
-	if !r.set.Probes || r.set.Reports != ViaProbe || !slices.Contains(r.set.Columns, SignalPipe) ||
-		r.now < r.probeAt || len(r.caches.members) == 0 {
+	told := r.set.Probes && r.set.Reports == ViaProbe && slices.Contains(r.set.Columns, SignalPipe)
+	if !told || r.now < r.probeAt || len(r.caches.members) == 0 {
 		return
 	}
 	r.probeAt = r.now + probeEach
@@ -653,18 +648,13 @@
 
 // report reads a load report.
 func (r *Router) report(n int32, rep *Report) {
-	d := &r.nodes[n]
-	if d.role != roleCache {
-		return
-	}
 	for i := range min(rep.N, len(r.set.Columns)) {
-		switch r.set.Columns[i] {
-		case SignalBusy:
-			d.load = rep.V[i]
-		case SignalPipe:
-			if x := rep.V[i]; x > 0.2 && r.inlet.busy > 0.5 {
-				r.inlet.room += (r.inlet.busy/x - r.inlet.room) / 10
-			}
+		x := rep.V[i]
+		switch {
+		case r.set.Columns[i] == SignalBusy:
+			r.nodes[n].load = x
+		case r.set.Columns[i] == SignalPipe && r.nodes[n].role == roleCache && x > 0.2 && r.inlet.busy > 0.5:
+			r.inlet.room += (r.inlet.busy/x - r.inlet.room) / 10
 		}
 	}
 }
@@ -949,7 +939,7 @@
 	}
 }
 
-// good takes an answer to a leg sent at that time. One sent before a silence began shows that nothing was lost.
+// good takes an answer to a leg sent at that time. One sent before a silence shows that nothing was lost.
 func (r *Router) good(n int32, sent time.Duration) {
 	d := &r.nodes[n]
 	d.heard = r.now
--- a/rules/state.go
+++ b/rules/state.go
@@ -52,6 +52,7 @@
 	held         bool          // the source gives only what it holds
 	filled       bool          // predicted to need a fill
 	kept         bool          // the cache keeps a copy
+	slow         bool          // counted at the gate as late
 }
 
 // view is a view in hand, or one whose last legs have yet to end.
