--- a/rules/rules.go
+++ b/rules/rules.go
@@ -503,11 +503,14 @@
 		stretch = float64(e.Took-e.Waited) / float64(v.sending)
 	}
 	if e.Note == NoteHit {
-		if !v.sized && n.load < calm {
+		if !v.sized && (n.load < calm || m.sending == 0 || e.Took < m.sending) {
+			// The shortest time seen is nearest to the sending time at full pace.
 			if m.sending == 0 || e.Took < m.sending {
 				m.sending = e.Took
 			}
-			row.usual.add(e.Took, 0.02)
+			if n.load < calm || row.usual.n < 20 {
+				row.usual.add(m.sending, 0.02)
+			}
 		}
 		if v.sending >= 100*ms {
 			n.pipe.learn(stretch, n.pipe.busy+l.duty)
