A parent whose fills drag far past their prediction counts as failing

Cause: one parent began its fills in 100 ms and then sent at a tenth of the pace; told from a full location link by the other parent's fills, from the origin by the short time to the first byte. The second copy for overdue legs at a live node came in with it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -520,7 +520,11 @@
 	if !filled || s.role == roleCache {
 		return
 	}
-	r.good(l.source, l.sent)
+	if body := e.Took - e.Waited; v.sized && s.role == roleParent && body > dragging*l.expect+overdue {
+		r.bad(l.source, badSoft)
+	} else {
+		r.good(l.source, l.sent)
+	}
 	s.carries.add(v.sending.Seconds(), r.now, time.Second)
 	if v.sending >= 100*ms && (stretch < stretched || stretch > 1.5*n.pipe.stretch()) {
 		r.inlet.learn(stretch, r.inlet.busy+l.duty)
@@ -537,6 +541,11 @@
 	}
 }
 
+// dragging is how many times its prediction the body of a fill may take before its parent counts as failing:
+// the location's links are in the prediction, so what is left is the parent's own. Guards against slow and
+// throttled parents that begin to answer in good time.
+const dragging = 2
+
 // calm is the load below which a cache's link is taken to run at full pace.
 const calm = 0.8
 
@@ -618,15 +627,17 @@
 			case l.source != r.origin && r.set.Tells == TellsAll && r.nodes[l.source].heard < l.sent:
 				silent = l.source
 			}
-			if l.nudged = true; silent == none {
-				continue
+			l.nudged = true
+			if silent != none {
+				r.bad(silent, badHard)
+			} else if !v.sized {
+				continue // it may just be long
 			}
-			r.bad(silent, badHard)
 			if r.set.Tariffs[v.tariff].Effect == OneShot || r.now > v.due || r.retries < 1 {
 				continue
 			}
 			r.retries--
-			if silent != l.node {
+			if silent == l.source && silent != l.node {
 				r.fill(v, stageOrigin)
 			} else if c, _ := r.pick(v); c != none {
 				v.cache = c
