--- a/rules/rules.go
+++ b/rules/rules.go
@@ -684,8 +684,9 @@
 
 // pick walks the ring from the view's point to the first cache that may have it: listed, in health, warm
 // enough for this object, not asked yet, and predicted in time. If none is in time, it is the first: it may
-// hold the object. Where most caches are out, health is not asked: what fails everywhere at once is shared,
-// and no cache is better than another. any tells whether some cache was fit at all.
+// hold the object. Where most caches are out, health is not asked, but for silence where views may pass the
+// caches by: what fails everywhere at once is shared, and no cache is better than another. any tells whether
+// some cache was fit at all.
 func (r *Router) pick(v *view) (c int32, any bool) {
 	sick := 0
 	for _, c := range r.caches.members {
@@ -693,13 +694,14 @@
 			sick++
 		}
 	}
-	heed := 2*sick <= len(r.caches.members)
+	few := 2*sick <= len(r.caches.members)
 	p, failing := r.parent(v)
 	if failing {
 		p = r.origin
 	}
 	first, left := none, spill+1
 	found := r.walk(&r.caches, v.hash, func(c int32) bool {
+		heed := few || r.nodes[c].health.silent && r.set.Direct
 		if !r.admits(c, v.hash) || !r.affordable(c) || r.asked(v, c) || heed && !r.healthy(c) {
 			return false
 		}
