--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,12 +1,13 @@
 package rules
 
-// This file holds every decision of the router. A front end calls New with the settings and a seed, Start
-// once, then Handle for each event in order; each call returns the actions to carry out, in order. The types
-// stand in iface.go. docs/design.md tells what the mechanism is and when each exception to it acts.
+// This file holds every decision of the router. router.go is its door: a front end calls New with the settings
+// and a seed, Start once, then Handle for each event in order; each call returns the actions to carry out, in
+// order. Their types stand in iface.go, the state and its plain machinery in state.go; neither decides
+// anything. docs/design.md tells what the mechanism is and when each exception to it acts.
 //
-// Reading order: Handle, arrive (the ordinary path), plan (which cache, which source), send (the one gate
-// through which every leg passes, with the guards of the five rules), legEnd with the table steps, then
-// health, pipes, rings and the list.
+// Reading order: the table of steps; arrive, start and fill (the ordinary path); send (the one gate through
+// which every leg passes, with the guards of the five rules); legEnd and what it learns or blames; lookOver
+// (overdue legs); pick, parent and former (which cache, which source); predictions, the origin's gate, health.
 
 import (
 	"slices"
@@ -18,24 +19,6 @@
 // maxLegs bounds the legs of a view whatever the settings allow: more than this many never paid.
 const maxLegs = 8
 
-// New returns a router with empty hands.
-func New(set Settings, seed uint64) *Router {
-	r := &Router{set: set, rng: newPCG(seed), index: map[NodeID]int32{}, byID: map[ViewID]int32{}, origin: none,
-		rows: make([]row, len(set.Tariffs)), tenants: make([]allowance, len(set.Tenants)),
-		memory: make([]memo, memorySize), gate: gate{window: gateStart}, share: 1, retries: retriesMost}
-	z := int(set.Zone)
-	if z < len(set.ZoneRouters) && set.ZoneRouters[z] > 1 {
-		r.share = 1 / float64(set.ZoneRouters[z])
-	}
-	if z < len(set.ZoneInlet) && set.FlowKB > 0 {
-		r.inlet.room = set.ZoneInlet[z] / set.FlowKB * r.share
-	}
-	if r.set.Legs <= 0 || r.set.Legs > maxLegs {
-		r.set.Legs = maxLegs
-	}
-	return r
-}
-
 // Timers. tick is how often views in hand are looked over: well under the shortest due time, and cheap.
 // followWait is how long after a failed call the list is asked for again, and as much more by chance.
 const (
@@ -45,58 +28,6 @@
 	followWait = 250 * ms
 )
 
-// Start begins the router's life.
-func (r *Router) Start(now time.Duration, acts []Action) []Action {
-	r.now, r.acts = now, acts
-	r.timer(tick, timerTick)
-	if r.set.AskForList {
-		r.act(Action{Kind: ActionFollow})
-	}
-	return r.acts
-}
-
-// Handle takes one event and returns the actions that it calls for, appended to acts.
-func (r *Router) Handle(now time.Duration, e *Event, acts []Action) []Action {
-	r.now, r.acts = now, acts
-	v := r.find(e.View)
-	switch e.Kind {
-	case EventView:
-		r.arrive(e)
-	case EventLegEnd:
-		r.legEnd(v, e)
-	case EventStream:
-		if v != nil {
-			v.streaming = true
-		}
-	case EventGone:
-		if v != nil {
-			r.close(v)
-		}
-	case EventList:
-		if e.List == ListFailed {
-			r.timer(followWait+time.Duration(r.rng.float()*float64(followWait)), timerList)
-		} else {
-			r.enlist(e)
-			r.rebuild()
-		}
-	case EventPurge:
-		r.purged(e)
-	case EventProbed:
-		if n, known := r.index[e.Node]; known {
-			r.report(n, &e.Report)
-		}
-	case EventTimer:
-		switch e.Timer {
-		case timerTick:
-			r.timer(tick, timerTick)
-			r.lookOver()
-		case timerList:
-			r.act(Action{Kind: ActionFollow})
-		}
-	}
-	return r.acts
-}
-
 // The stages of a view, the ways in which a leg can end, and what follows.
 
 type stage uint8
@@ -290,7 +221,13 @@
 	if failing {
 		p = r.nextParent(v)
 	}
-	return p != none && r.inTime(v, p, p) && r.reaches(v, p, p) && r.send(v, stageDirect, p, p, 0)
+	if v.cache = p; p == none || !r.inTime(v, p, p) {
+		return false
+	}
+	if !v.filledFrom(r.origin) && r.reaches(v, p, r.origin) {
+		return r.send(v, stageDirect, p, r.origin, 0)
+	}
+	return !v.filledFrom(p) && r.send(v, stageDirect, p, p, 0)
 }
 
 // write runs a view at the origin: straight where that is allowed, else through a cache. One that provably
@@ -630,6 +567,8 @@
 			l.nudged = true
 			if silent != none {
 				r.bad(silent, badHard)
+				r.gate.out -= l.gate // nothing of it waits for the origin any more
+				l.gate = 0
 			} else if !v.sized {
 				continue // it may just be long
 			}
