--- a/rules/rules.go
+++ b/rules/rules.go
@@ -449,7 +449,7 @@
 				row.usual.add(m.sending, 0.02)
 			}
 		}
-		if v.sending >= 100*ms {
+		if v.sending >= 100*ms && r.warm(l.node) >= 1 {
 			n.pipe.learn(stretch, n.pipe.busy+l.duty)
 		}
 	}
@@ -463,7 +463,7 @@
 		r.good(l.source, l.sent)
 	}
 	s.carries.add(v.sending.Seconds(), r.now, time.Second)
-	if v.sending >= 100*ms && (stretch < stretched || stretch > 1.5*n.pipe.stretch()) {
+	if v.sending >= 100*ms && (stretch < stretched || stretch > 1.5*n.pipe.stretch(r.warm(l.node))) {
 		r.inlet.learn(stretch, r.inlet.busy+l.duty)
 	}
 	via := 0.0 // did the parent have it?
@@ -759,12 +759,12 @@
 	return none
 }
 
-// stretch is how many times longer than alone one more transfer takes.
-func (p *pipe) stretch() float64 {
+// stretch is how many times longer than alone one more transfer takes, on a link that gives a part of its room.
+func (p *pipe) stretch(part float64) float64 {
 	if p.room <= 0 {
 		return 1
 	}
-	return max(1, (p.busy+1)/p.room)
+	return max(1, (p.busy+1)/(p.room*part))
 }
 
 // stretched parts a transfer at full pace, with the noise of its size and way, from one that shared a full
@@ -792,10 +792,10 @@
 	if r.set.Tariffs[v.tariff].Write {
 		return v.sending, 0, false
 	}
-	s := r.nodes[n].pipe.stretch() / r.warm(n)
+	s := r.nodes[n].pipe.stretch(r.warm(n))
 	wait := time.Duration(0)
 	if filled = src != n && src != none && !r.holds(v, n); filled && r.nodes[src].role != roleCache {
-		s = max(s, r.inlet.stretch())
+		s = max(s, r.inlet.stretch(1))
 		wait = r.nodes[src].wait
 		if src == r.origin {
 			wait = r.gate.wait
--- a/rules/state.go
+++ b/rules/state.go
@@ -384,7 +384,7 @@
 		d := &r.nodes[n]
 		d.seen, d.weight = r.walks, m.Weight
 		if m.Started > d.started {
-			d.started, d.health, d.pipe.room = m.Started, health{}, 0
+			d.started, d.health = m.Started, health{}
 		}
 		r.update(d, m.State)
 	}
