--- a/rules/rules.go
+++ b/rules/rules.go
@@ -585,6 +585,10 @@
 		}
 	}
 	r.probe()
+	if shut := r.gate.window <= gateLeast; shut != r.gate.shut && (shut || r.gate.window >= gateStart) {
+		r.gate.shut = shut
+		r.log(map[bool]string{true: "gate shut", false: "gate open"}[shut], r.origin)
+	}
 }
 
 // probeEach is how often one cache is asked for its load, in turn, where reports come only so: a few in a
@@ -679,7 +683,7 @@
 // lets a burst of twice the rate through, and other routers' chance must fit too. guessCarries stands for
 // what a warm one carries before any was seen to: one transfer.
 const (
-	coldSafety   = 0.5
+	coldSafety   = 0.35
 	guessCarries = 1
 )
 
@@ -897,6 +901,7 @@
 		h.until = r.now + h.pause
 	} else if h.rate > sickAt {
 		h.out, h.since, h.until, h.pause = true, r.now, r.now+firstPause, firstPause
+		r.log("out", n)
 	}
 }
 
@@ -908,6 +913,7 @@
 	h.rate -= badSoft * h.rate
 	if h.out && h.silent && sent < h.since {
 		*h = health{}
+		r.log("back, was never gone", n)
 	}
 	if !h.out {
 		return
@@ -919,6 +925,7 @@
 			d.started = max(d.started, r.now-firstPause)
 		}
 		*h = health{}
+		r.log("back", n)
 	}
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -166,6 +167,15 @@
 
 func (r *Router) act(a Action) { r.acts = append(r.acts, a) }
 
+// log writes a line about a node: its role, its id and what happened.
+func (r *Router) log(what string, n int32) {
+	if n != none {
+		d := &r.nodes[n]
+		role := [...]string{"cache", "parent", "origin"}[d.role]
+		r.act(Action{Kind: ActionLog, Text: fmt.Sprintf("%s %x: %s", role, uint64(d.id), what)})
+	}
+}
+
 func (r *Router) timer(wait time.Duration, name uint64) {
 	r.act(Action{Kind: ActionTimer, Wait: wait, Timer: name})
 }
@@ -401,6 +411,7 @@
 	wait        time.Duration // usual time to the first byte by way of the origin
 	via         float64       // share of the parents' fills that went to the origin
 	cut         time.Duration
+	shut        bool // as last logged
 }
 
 // rebuild makes the rings anew and keeps the last ones for the relay.
