--- a/rules/rules.go
+++ b/rules/rules.go
@@ -123,6 +123,7 @@
 	} else if m != nil && m.sending > 0 {
 		v.sending = m.sending
 	}
+	v.known = v.sized || m != nil && m.sending > 0
 	v.due = min(v.end, r.now+t.Due+time.Duration(t.DueStretch*float64(v.sending)))
 	v.spare = r.overAllowance(int(e.Tenant))
 	r.retries = min(retriesMost, r.retries+retriesEach)
@@ -449,7 +450,7 @@
 				row.usual.add(m.sending, 0.02)
 			}
 		}
-		if v.sending >= 100*ms && r.warm(l.node) >= 1 {
+		if v.known && v.sending >= 100*ms && r.warm(l.node) >= 1 {
 			n.pipe.learn(stretch, n.pipe.busy+l.duty)
 		}
 	}
@@ -463,7 +464,7 @@
 		r.good(l.source, l.sent)
 	}
 	s.carries.add(v.sending.Seconds(), r.now, time.Second)
-	if v.sending >= 100*ms && (stretch < stretched || stretch > 1.5*n.pipe.stretch(r.warm(l.node))) {
+	if v.known && v.sending >= 100*ms && (stretch < stretched || stretch > 1.5*n.pipe.stretch(r.warm(l.node))) {
 		r.inlet.learn(stretch, r.inlet.busy+l.duty)
 	}
 	via := 0.0 // did the parent have it?
@@ -548,7 +549,7 @@
 		}
 		for k := range v.n {
 			l := &v.legs[k]
-			if !l.out || l.nudged || r.now-l.sent < 2*l.expect+overdue || l.node == r.origin {
+			if !l.out || l.nudged || v.sending == 0 || r.now-l.sent < 2*l.expect+overdue || l.node == r.origin {
 				continue
 			}
 			silent := none
@@ -784,7 +785,7 @@
 			p.room += 0.1 * max(1, busy+1-p.room)
 		}
 	case p.room <= 0:
-		p.room = busy / stretch * 1.5
+		p.room = max(1, busy/stretch*1.5)
 	default:
 		p.room += (max(1, busy/stretch) - p.room) / 10
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -67,6 +67,7 @@
 	sending   time.Duration // to send it at full pace
 	again     time.Duration // when a write is tried again, 0: not
 	sized     bool          // the size was told
+	known     bool          // the size was told, or is recalled
 	spare     bool          // over its tenant's allowance
 	open      bool
 	streaming bool
