--- a/rules/rules.go
+++ b/rules/rules.go
@@ -806,7 +806,11 @@
 			wait = r.gate.wait
 		}
 	}
-	send := time.Duration(float64(v.sending) * (s + (s-1)*growth))
+	more := growth
+	if !v.sized {
+		more = growthUntold
+	}
+	send := time.Duration(float64(v.sending) * (s + (s-1)*more))
 	return wait + send, float64(send+ms) / float64(wait+send+ms), filled
 }
 
@@ -814,8 +818,9 @@
 // over its stretch on arrival, by the views that come while this one is sent: a full link stays full. Both
 // were tried: less growth lets views in that end late, more turns back on calm days.
 const (
-	margin = 1.2
-	growth = 0.7
+	margin       = 1.2
+	growth       = 0.7
+	growthUntold = 2.1 // sizes spread widely: an untold one is often far over its guess
 )
 
 // inTime is the admission test. A tenant's views over its allowance must leave room for others'.
