--- a/rules/rules.go
+++ b/rules/rules.go
@@ -430,7 +430,8 @@
 		row.usual.add(e.Took, 0.1)
 		return
 	}
-	filled := e.Note == NoteFilled || e.Note == NoteViaOrigin
+	far := n.role != roleCache
+	filled := far || e.Note == NoteFilled || e.Note == NoteViaOrigin
 	n.carries.add(v.sending.Seconds(), r.now, time.Second)
 	m := r.remember(v)
 	if m.seen = r.now; l.kept || e.Note == NoteHit {
@@ -450,7 +451,7 @@
 				row.usual.add(m.sending, 0.02)
 			}
 		}
-		if v.known && v.sending >= 100*ms && r.warm(l.node) >= 1 {
+		if v.known && !far && v.sending >= 100*ms && r.warm(l.node) >= 1 {
 			n.pipe.learn(stretch, n.pipe.busy+l.duty)
 		}
 	}
@@ -471,7 +472,7 @@
 	if e.Note == NoteViaOrigin || s.role == roleOrigin {
 		via = 1
 		r.gate.learn(e.Waited, e.Waited > t.Due/2 && r.now >= v.due, r.now)
-	} else {
+	} else if !far {
 		s.wait += (e.Waited - s.wait) / 8
 	}
 	if s.role == roleParent {
@@ -799,7 +800,9 @@
 	}
 	s := r.nodes[n].pipe.stretch(r.warm(n))
 	wait := time.Duration(0)
-	if filled = src != n && src != none && !r.holds(v, n); filled && r.nodes[src].role != roleCache {
+	// A view past the caches comes through the location's link whatever the parent holds.
+	far := r.nodes[n].role != roleCache
+	if filled = far || src != n && src != none && !r.holds(v, n); filled && (far || r.nodes[src].role != roleCache) {
 		s = max(s, r.inlet.stretch(1))
 		wait = r.nodes[src].wait
 		if src == r.origin {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -234,6 +234,53 @@
 	//  60.02s view 44: turned back
 }
 
+// Found on depot-records and counter-net: all caches lost. Views go straight to a parent, by way of the origin, and
+// count on the location's link: once that is full, they are turned back.
+func Example_pastTheCaches() {
+	set := plain()
+	set.ZoneInlet = []float64{0, 0, 1000} // one transfer at full pace
+	b := newBench(set, cacheA)
+	for id := ViewID(1); id <= 2; id++ {
+		b.view(id, 0, b.first(cacheA, parentP))
+		b.end(id, cacheA, 20*ms, Unconnected, NoteNone)
+		b.end(id, parentP, 110*ms, Succeeded, NoteFilled)
+	}
+	for id := ViewID(3); id <= 8; id++ {
+		b.view(id, 0, b.first(cacheA, parentQ))
+	}
+	// Output:
+	//   0.00s view 1: leg to A, fill from P
+	//   0.02s view 1: leg to P, fill from origin
+	//   0.13s view 2: leg to A, fill from P
+	//   0.15s view 2: leg to P, fill from origin
+	//   0.26s view 3: leg to Q, fill from origin
+	//   0.26s view 4: leg to Q, fill from origin
+	//   0.26s view 5: leg to Q, fill from origin
+	//   0.26s view 6: leg to Q, fill from origin
+	//   0.26s view 7: turned back
+	//   0.26s view 8: turned back
+}
+
+// Found on branch-library: a parent that begins its fills in good time, and then drags, counts as failing.
+func Example_draggingParent() {
+	b := newBench(plain(), cacheA)
+	for id := ViewID(1); id <= 6; id++ {
+		b.view(id, 0, 7+ObjectID(id)*1000)
+		b.pass(2 * time.Second)
+		b.do(&Event{Kind: EventLegEnd, View: id, Node: cacheA, Outcome: Succeeded, Note: NoteFilled, Took: 2 * time.Second,
+			Waited: 20 * ms, Final: true})
+	}
+	// Output:
+	//   0.00s view 1: leg to A, fill from P
+	//   2.00s view 2: leg to A, fill from Q
+	//   2.36s view 2: leg to A, fill from origin
+	//   4.00s view 2: leg 1 cancelled
+	//   4.00s view 3: leg to A, fill from P
+	//   6.00s view 4: leg to A, fill from Q
+	//   8.00s view 5: leg to A, fill from origin
+	//  10.00s view 6: leg to A, fill from P
+}
+
 // The list by asking: asked for at the start, and again after a failure.
 func Example_askForList() {
 	set := plain()
