--- a/rules/rules.go
+++ b/rules/rules.go
@@ -685,13 +685,14 @@
 // lets a burst of twice the rate through, and other routers' chance must fit too. guessCarries stands for
 // what a warm one carries before any was seen to: one transfer.
 const (
-	coldSafety   = 0.35
+	coldSafety   = 0.42
 	guessCarries = 1
 )
 
 // affordable says whether a cold node can bear one more view: what this router sent it lately must stay under
-// the stated multiple of what warm ones were seen to carry for this router, times its warmth. Guards rule 4
-// when the load is far from usual: a lost location, retries, a dead neighbour.
+// the stated multiple of what others like it were seen to carry for this router at their best, or it before it
+// restarted, times its warmth; those that carried far less tell of little use, not of a small link. Guards
+// rule 4 when the load is far from usual: a lost location, retries, a dead neighbour.
 func (r *Router) affordable(n int32) bool {
 	warm := r.warm(n)
 	if warm >= 1 {
@@ -699,15 +700,13 @@
 	}
 	d, sum, count := &r.nodes[n], 0.0, 0.0
 	for i := range r.nodes {
-		if o := &r.nodes[i]; o.role == d.role && o.carries.most > 0 && r.now-o.started > r.set.ColdFor {
-			sum += o.carries.most
+		o := &r.nodes[i]
+		if most := o.carries.most; o.role == d.role && most > 0 && most > sum/max(1, count)/2 {
+			sum += most
 			count++
 		}
 	}
-	carries := guessCarries * r.share
-	if count > 0 {
-		carries = max(carries, sum/count)
-	}
+	carries := max(guessCarries*r.share, sum/max(1, count))
 	multiple := r.set.FallMultiple
 	if d.role == roleParent {
 		multiple = r.set.ParentFallMultiple
