--- a/rules/rules.go
+++ b/rules/rules.go
@@ -512,7 +512,7 @@
 		n.full = r.now + fullFor
 	case endSource:
 		switch {
-		case l.source == r.origin, e.Waited > overdue && r.nodes[l.source].heard > l.sent:
+		case l.source == r.origin, !l.held && e.Waited > overdue && r.nodes[l.source].heard > l.sent:
 			r.gate.fail(r.now)
 		case e.Note == NoteUnreached:
 			r.bad(l.source, badHard)
@@ -571,7 +571,7 @@
 				r.bad(silent, badHard)
 				r.gate.out -= l.gate // nothing of it waits for the origin any more
 				l.gate = 0
-			} else if !v.sized {
+			} else if !v.known {
 				continue // it may just be long
 			}
 			if r.set.Tariffs[v.tariff].Effect == OneShot || r.now > v.due || r.retries < 1 {
