--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,13 +1,14 @@
 package rules
 
-// This file holds every decision of the router. router.go is its door: a front end calls New with the settings
-// and a seed, Start once, then Handle for each event in order; each call returns the actions to carry out, in
-// order. Their types stand in iface.go, the state and its plain machinery in state.go; neither decides
-// anything. docs/design.md tells what the mechanism is and when each exception to it acts.
+// This file holds every decision of the router. router.go is its door: a front end calls New with the
+// settings and a seed, Start once, then Handle for each event in order; each call returns the actions to
+// carry out, in order. Their types stand in iface.go, the state and its plain machinery in state.go; neither
+// decides anything. docs/design.md tells what the mechanism is and when each exception to it acts.
 //
 // Reading order: the table of steps; arrive, start and fill (the ordinary path); send (the one gate through
 // which every leg passes, with the guards of the five rules); legEnd and what it learns or blames; lookOver
-// (overdue legs); pick, parent and former (which cache, which source); predictions, the origin's gate, health.
+// (overdue legs); pick, parent and former (which cache, which source); predictions, the origin's gate,
+// health.
 
 import (
 	"slices"
@@ -512,7 +513,7 @@
 		n.full = r.now + fullFor
 	case endSource:
 		switch {
-		case l.source == r.origin, !l.held && e.Waited > overdue && r.nodes[l.source].heard > l.sent:
+		case l.source == r.origin, !l.held && e.Waited > overdue && r.nodes[l.source].heard > l.sent && r.gate.good < l.sent:
 			r.gate.fail(r.now)
 		case e.Note == NoteUnreached:
 			r.bad(l.source, badHard)
@@ -690,8 +691,8 @@
 )
 
 // affordable says whether a cold node can bear one more view: what this router sent it lately must stay under
-// the stated multiple of what others like it were seen to carry for this router at their best, or it before it
-// restarted, times its warmth; those that carried far less tell of little use, not of a small link. Guards
+// the stated multiple of what others like it were seen to carry for this router at their best, or it before
+// it restarted, times its warmth; those that carried far less tell of little use, not of a small link. Guards
 // rule 4 when the load is far from usual: a lost location, retries, a dead neighbour.
 func (r *Router) affordable(n int32) bool {
 	warm := r.warm(n)
@@ -764,7 +765,8 @@
 	return none
 }
 
-// stretch is how many times longer than alone one more transfer takes, on a link that gives a part of its room.
+// stretch is how many times longer than alone one more transfer takes, on a link that gives a part of its
+// room.
 func (p *pipe) stretch(part float64) float64 {
 	if p.room <= 0 {
 		return 1
@@ -865,9 +867,10 @@
 	}
 	if late {
 		g.fail(now)
-	} else if g.window < gateMost {
-		g.window += 0.5
+		return
 	}
+	g.good = now
+	g.window = min(gateMost, g.window+0.5)
 }
 
 func (g *gate) fail(now time.Duration) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -411,8 +411,8 @@
 	window, out float64
 	wait        time.Duration // usual time to the first byte by way of the origin
 	via         float64       // share of the parents' fills that went to the origin
-	cut         time.Duration
-	shut        bool // as last logged
+	cut, good   time.Duration // when it was narrowed, when an answer came in good time
+	shut        bool          // as last logged
 }
 
 // rebuild makes the rings anew and keeps the last ones for the relay.
