--- a/rules/rules.go
+++ b/rules/rules.go
@@ -460,7 +460,7 @@
 	if !filled || s.role == roleCache {
 		return
 	}
-	if body := e.Took - e.Waited; v.sized && s.role == roleParent && body > dragging*l.expect+overdue {
+	if body := e.Took - e.Waited; v.known && s.role == roleParent && body > dragging*l.expect+overdue {
 		r.bad(l.source, badSoft)
 	} else {
 		r.good(l.source, l.sent)
