--- a/rules/rules.go
+++ b/rules/rules.go
@@ -460,7 +460,9 @@
 	if !filled || s.role == roleCache {
 		return
 	}
-	if body := e.Took - e.Waited; v.known && s.role == roleParent && body > dragging*l.expect+overdue {
+	body := e.Took - e.Waited
+	s.drag += (min(dragMost, float64(body)/float64(l.expect+ms)) - s.drag) / 8
+	if s.role == roleParent && body > dragging*l.expect+overdue && (v.known || r.drags(l.source)) {
 		r.bad(l.source, badSoft)
 	} else {
 		r.good(l.source, l.sent)
@@ -483,8 +485,22 @@
 
 // dragging is how many times its prediction the body of a fill may take before its parent counts as failing:
 // the location's links are in the prediction, so what is left is the parent's own. Guards against slow and
-// throttled parents that begin to answer in good time.
-const dragging = 2
+// throttled parents that begin to answer in good time. dragMost bounds what one odd fill can tell.
+const (
+	dragging = 2
+	dragMost = 8
+)
+
+// drags compares a parent's fills with those of the others: where sizes are only guessed, one long body tells
+// nothing, but they are guessed alike for all parents.
+func (r *Router) drags(n int32) bool {
+	for _, p := range r.parents.members {
+		if p != n && r.nodes[n].drag > dragging*max(0.5, r.nodes[p].drag) {
+			return true
+		}
+	}
+	return false
+}
 
 // calm is the load below which a cache's link is taken to run at full pace.
 const calm = 0.8
--- a/rules/state.go
+++ b/rules/state.go
@@ -37,6 +37,7 @@
 	heard   time.Duration // last sign of life
 	full    time.Duration // until then it has no place for a fill
 	wait    time.Duration // usual time to the first byte of a fill that it holds
+	drag    float64       // usual length of a fill's body over its prediction
 	carries rate          // sending time a second that it has answered in
 	spent   rate          // sending time a second that it was sent lately
 	load    float64       // its last report of how busy it is
