--- a/rules/rules.go
+++ b/rules/rules.go
@@ -162,13 +162,8 @@
 
 // start sends a view by the ordinary path: the ring's cache, the former owner if the slot moved, the parent.
 func (r *Router) start(v *view) {
-	c, any := r.pick(v)
-	if c != none {
-		v.cache = c
-		if r.fill(v, stageRelay) {
-			return
-		}
-	} else if !any && r.set.Direct && r.direct(v) {
+	v.cache = r.pick(v)
+	if v.cache != none && r.fill(v, stageRelay) || v.cache == none && r.set.Direct && r.direct(v) {
 		return
 	}
 	r.giveUp(v)
@@ -182,7 +177,6 @@
 		if f != none && r.inTime(v, v.cache, f) && r.send(v, stageRelay, v.cache, f, HowHoldsOnly) {
 			return true
 		}
-		st = stageHome
 	}
 	p, failing := r.parent(v)
 	if o := r.origin; st == stageOrigin || failing || p == none {
@@ -238,7 +232,7 @@
 	v.again = 0
 	n := r.origin
 	if !r.set.Direct {
-		n, _ = r.pick(v)
+		n = r.pick(v)
 	}
 	if n == none || r.origin == none || !r.send(v, stageDirect, n, r.origin, 0) {
 		r.giveUp(v)
@@ -293,7 +287,7 @@
 	}
 	if !t.Write {
 		// Rule 5: nothing older than the last purge will do.
-		a.Age = r.oldest(v, t)
+		a.Age = r.oldest(v)
 		if r.nodes[n].role == roleCache {
 			a.Keep = r.rank(v)
 		}
@@ -468,6 +462,9 @@
 		r.good(l.source, l.sent)
 	}
 	s.carries.add(v.sending.Seconds(), r.now, time.Second)
+	if v.known && stretch < stretched {
+		r.inlet.even = r.now
+	}
 	if v.known && v.sending >= 100*ms && (stretch < stretched || stretch > 1.5*n.pipe.stretch(r.warm(l.node))) {
 		r.inlet.learn(stretch, r.inlet.busy+l.duty)
 	}
@@ -529,7 +526,8 @@
 		n.full = r.now + fullFor
 	case endSource:
 		switch {
-		case l.source == r.origin, !l.held && e.Waited > overdue && r.nodes[l.source].heard > l.sent && r.gate.good < l.sent:
+		case l.source == r.origin,
+			!l.held && e.Waited > overdue && r.nodes[l.source].heard > l.sent && r.gate.good < l.sent:
 			r.gate.fail(r.now)
 		case e.Note == NoteUnreached:
 			r.bad(l.source, badHard)
@@ -546,11 +544,12 @@
 }
 
 // fullFor is how long a cache that turned a view away is asked for no fills: some transfers end meanwhile.
-const fullFor = 100 * ms
-
 // overdue is how far past twice its predicted time a leg may be before silence counts: a short pause of a
 // node or a resent packet should fit.
-const overdue = 150 * ms
+const (
+	fullFor = 100 * ms
+	overdue = 150 * ms
+)
 
 // lookOver sends writes again, and finds overdue legs. One whose node, or source, has shown no sign of life
 // since it was sent gets a second copy by another way. Guards against silent caches and parents (vanished,
@@ -597,7 +596,7 @@
 			r.retries--
 			if silent == l.source && silent != l.node {
 				r.fill(v, stageOrigin)
-			} else if c, _ := r.pick(v); c != none {
+			} else if c := r.pick(v); c != none {
 				v.cache = c
 				r.fill(v, stageRelay)
 			}
@@ -621,12 +620,14 @@
 		return
 	}
 	r.probeAt = r.now + probeEach
-	r.probed++
-	if n := r.caches.members[r.probed%len(r.caches.members)]; r.healthy(n) {
+	if n := r.caches.members[int(r.now/probeEach)%len(r.caches.members)]; r.healthy(n) {
 		r.act(Action{Kind: ActionProbe, Node: r.nodes[n].id})
 	}
 }
 
+// evenFor is how long a transfer at full pace gainsays reports of a full link.
+const evenFor = 500 * ms
+
 // report reads a load report.
 func (r *Router) report(n int32, rep *Report) {
 	for i := range min(rep.N, len(r.set.Columns)) {
@@ -635,7 +636,11 @@
 		case r.set.Columns[i] == SignalBusy:
 			r.nodes[n].load = x
 		case r.set.Columns[i] == SignalPipe && r.nodes[n].role == roleCache && x > 0.2 && r.inlet.busy > 0.5:
-			r.inlet.room += (r.inlet.busy/x - r.inlet.room) / 10
+			// A report that our own fills gainsay, frozen or wrong, may not shut the link: one fill always
+			// goes.
+			if seen := max(1, r.inlet.busy/x); seen > r.inlet.room || r.now-r.inlet.even > evenFor {
+				r.inlet.room += (seen - r.inlet.room) / 10
+			}
 		}
 	}
 }
@@ -647,9 +652,8 @@
 // pick walks the ring from the view's point to the first cache that may have it: listed, in health, warm
 // enough for this object, not asked yet, and predicted in time. If none is in time, it is the first: it may
 // hold the object. Where most caches are out, health is not asked, but for silence where views may pass the
-// caches by: what fails everywhere at once is shared, and no cache is better than another. any tells whether
-// some cache was fit at all.
-func (r *Router) pick(v *view) (c int32, any bool) {
+// caches by: what fails everywhere at once is shared, and no cache is better than another.
+func (r *Router) pick(v *view) int32 {
 	sick := 0
 	for _, c := range r.caches.members {
 		if r.nodes[c].health.out {
@@ -674,9 +678,9 @@
 		return left < 0 || r.inTime(v, c, p)
 	})
 	if found == none || left < 0 {
-		return first, first != none
+		return first
 	}
-	return found, true
+	return found
 }
 
 // admits says whether a node takes the object: all objects once it is warm, while cold the share that it can
@@ -819,7 +823,8 @@
 	wait := time.Duration(0)
 	// A view past the caches comes through the location's link whatever the parent holds.
 	far := r.nodes[n].role != roleCache
-	if filled = far || src != n && src != none && !r.holds(v, n); filled && (far || r.nodes[src].role != roleCache) {
+	filled = far || src != n && src != none && !r.holds(v, n)
+	if filled && (far || r.nodes[src].role != roleCache) {
 		s = max(s, r.inlet.stretch(1))
 		wait = r.nodes[src].wait
 		if src == r.origin {
@@ -986,7 +991,7 @@
 }
 
 // oldest is the oldest copy that will do: 0 for the tariff's own limit, else younger than the last purge.
-func (r *Router) oldest(v *view, t *Tariff) time.Duration {
+func (r *Router) oldest(v *view) time.Duration {
 	oldest := time.Duration(0)
 	for _, p := range r.purges {
 		if r.now-p.at > r.set.PurgeDone || p.object != v.object && (p.object != 0 || p.group != v.group) {
@@ -996,9 +1001,6 @@
 			oldest = age
 		}
 	}
-	if oldest > 0 && t.Fresh > 0 {
-		oldest = min(oldest, t.Fresh)
-	}
 	return oldest
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -281,6 +281,32 @@
 	//  10.00s view 6: leg to A, fill from P
 }
 
+// On no list: load reports frozen at a full link, sizes untold. The link may not be shut for good: one fill always goes.
+func Example_frozenReports() {
+	set := plain()
+	set.Reports, set.Columns, set.ZoneInlet = ViaAnswers, []Signal{SignalPipe}, []float64{0, 0, 20000}
+	b := newBench(set, cacheA, cacheB)
+	b.mute = true
+	for id := ViewID(5000); id < 5030; id++ { // hits tell the usual size
+		b.do(&Event{Kind: EventView, View: id, Object: ObjectID(id), Left: time.Second})
+		b.end(id, b.owner(ObjectID(id)), 100*ms, Succeeded, NoteHit)
+	}
+	b.mute = false
+	for id := ViewID(1); id <= 1200; id += 12 {
+		for k := id; k < id+12; k++ {
+			b.acts = b.r.Handle(b.now, &Event{Kind: EventView, View: k, Object: ObjectID(k), Left: time.Second}, b.acts[:0])
+		}
+		b.now += 110 * ms
+		for k := id; k < id+12; k++ {
+			b.acts = b.r.Handle(b.now, &Event{Kind: EventLegEnd, View: k, Outcome: Succeeded, Note: NoteFilled, Took: 110 * ms,
+				Waited: 10 * ms, Final: true, Report: Report{N: 1, V: [4]float64{50}}}, b.acts[:0])
+		}
+	}
+	b.do(&Event{Kind: EventView, View: 2000, Object: b.first(cacheA, parentP), Left: time.Second})
+	// Output:
+	// 14.00s view 2000: leg to A, fill from P
+}
+
 // The list by asking: asked for at the start, and again after a failure.
 func Example_askForList() {
 	set := plain()
--- a/rules/state.go
+++ b/rules/state.go
@@ -108,7 +108,6 @@
 	retries float64 // further legs that may be spent
 	purges  []purge
 	share   float64 // this router's part of its location's views
-	probed  int
 	probeAt time.Duration
 }
 
@@ -165,7 +164,10 @@
 
 // pipe is a link as this router's own transfers show it: room is how many fit at full pace, 0 for no
 // evidence. Where others share the link, room is this router's part.
-type pipe struct{ busy, room float64 }
+type pipe struct {
+	busy, room float64
+	even       time.Duration // last transfer at full pace
+}
 
 func (r *Router) act(a Action) { r.acts = append(r.acts, a) }
 
