--- a/rules/rules.go
+++ b/rules/rules.go
@@ -245,7 +245,10 @@
 // send is the gate through which every leg passes; it holds the guards of the five rules and reports whether
 // the leg went out.
 func (r *Router) send(v *view, st stage, n, src int32, how How) bool {
-	t, usual := &r.set.Tariffs[v.tariff], r.rows[v.tariff].usual.get()
+	t, weight := &r.set.Tariffs[v.tariff], r.rows[v.tariff].usual.get()
+	if r.rows[v.tariff].usual.n < sizesSeen {
+		weight = t.Due // until sizes are known: longer than any usual view
+	}
 	// Rule 1: nothing for a view that is answered, nor so late that its answer cannot come back.
 	if !v.open || v.streaming || v.n >= r.set.Legs || v.end-r.now < 2*ms {
 		return false
@@ -254,16 +257,15 @@
 	if v.outs > 0 && !r.set.SecondCopies || !r.mayRepeat(v, n) {
 		return false
 	}
-	// Rule 3: nothing to a node past its grace, as view or as source. Rule 4: no more to a cold one than it
-	// can bear; looks and refusals count as well.
+	// Rules 3 and 4: nothing past its grace, no more to a cold node than it bears, as view or as source.
 	if !r.usable(n) || !r.usable(src) || !r.affordable(n) || src != n && !r.affordable(src) {
 		return false
 	}
-	r.nodes[n].spent.add(usual.Seconds(), r.now, r.set.FallFor)
+	r.nodes[n].spent.add(weight.Seconds(), r.now, r.set.FallFor)
 	l := leg{node: n, source: src, sent: r.now, out: true, ran: true}
 	l.expect, l.duty, l.filled = r.predict(v, n, src)
 	if l.filled {
-		r.nodes[src].spent.add(usual.Seconds(), r.now, r.set.FallFor)
+		r.nodes[src].spent.add(weight.Seconds(), r.now, r.set.FallFor)
 	}
 	l.held = how&HowHoldsOnly != 0
 	if !l.held && src != n && r.nodes[src].role != roleCache && !t.Write {
@@ -442,7 +444,7 @@
 			if m.sending == 0 || e.Took < m.sending {
 				m.sending = e.Took
 			}
-			if n.load < calm || row.usual.n < 20 {
+			if n.load < calm || row.usual.n < sizesSeen {
 				row.usual.add(m.sending, 0.02)
 			}
 		}
@@ -499,6 +501,9 @@
 	return false
 }
 
+// sizesSeen is how many sizes make a usual one: those that end first are the small ones.
+const sizesSeen = 20
+
 // calm is the load below which a cache's link is taken to run at full pace.
 const calm = 0.8
 
@@ -636,8 +641,7 @@
 		case r.set.Columns[i] == SignalBusy:
 			r.nodes[n].load = x
 		case r.set.Columns[i] == SignalPipe && r.nodes[n].role == roleCache && x > 0.2 && r.inlet.busy > 0.5:
-			// A report that our own fills gainsay, frozen or wrong, may not shut the link: one fill always
-			// goes.
+			// Reports that our own fills gainsay are passed over; one fill always goes.
 			if seen := max(1, r.inlet.busy/x); seen > r.inlet.room || r.now-r.inlet.even > evenFor {
 				r.inlet.room += (seen - r.inlet.room) / 10
 			}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -171,6 +171,23 @@
 	// 2 of 20 went to A while it was cold
 }
 
+// Rule 4, found by a hunt on counter-net: a fresh router that knows no sizes, and a location that is all cold. Until
+// sizes are known a view weighs its due time, so that few go before anything is learned.
+func Example_coldAndUnknowing() {
+	b := newBench(plain(), cacheA)
+	b.change(cacheA, Ready, b.now)
+	sent := 0
+	for o := ObjectID(1); o <= 200; o++ {
+		b.acts = b.r.Handle(b.now, &Event{Kind: EventView, View: ViewID(o), Object: o, Left: time.Second}, b.acts[:0])
+		if b.acts[0].Node == cacheA {
+			sent++
+		}
+	}
+	fmt.Printf("%d of 200 went to A at once\n", sent)
+	// Output:
+	// 2 of 200 went to A at once
+}
+
 // Rule 5: after a purge only younger copies will do, until all old ones are dropped.
 func Example_purge() {
 	b := newBench(plain(), cacheA)
