--- a/rules/rules.go
+++ b/rules/rules.go
@@ -710,7 +710,7 @@
 // lets a burst of twice the rate through, and other routers' chance must fit too. guessCarries stands for
 // what a warm one carries before any was seen to: one transfer.
 const (
-	coldSafety   = 0.42
+	coldSafety   = 0.36
 	guessCarries = 1
 )
 
