--- a/rules/helper_test.go
+++ b/rules/helper_test.go
@@ -58,7 +58,7 @@
 	switch {
 	case n == origin:
 		m.Kind, m.Zone = 2, 0
-	case n >= parentP:
+	case n >= parentP && n < origin:
 		m.Kind, m.Zone = 1, 0
 	}
 	return m
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -17,7 +17,7 @@
 
 const ms = time.Millisecond
 
-// maxLegs bounds the legs of a view whatever the settings allow: more than this many never paid.
+// maxLegs is how many legs a view has places for; one more would hardly come in its due time.
 const maxLegs = 8
 
 // Timers. tick is how often views in hand are looked over: well under the shortest due time, and cheap.
@@ -872,7 +872,7 @@
 //
 // gateStart fits a usual load from the start on, but no herd of routers that know nothing yet; gateMost is
 // wide: the gate matters when the origin's answers say so. gateLeast keeps trials going. Answers within
-// gateEach were under way together and tell one thing.
+// gateEach were under way together and tell one thing. The origin counts as troubled for so long after one.
 const (
 	gateStart = 8
 	gateMost  = 24
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -340,6 +340,25 @@
 	//   0.45s the list is asked for
 }
 
+// Many list changes, purges, objects and views leave the state bounded: places are used again.
+func Example_boundedState() {
+	b := newBench(plain(), cacheA)
+	b.mute = true
+	for i := range 5000 {
+		n := NodeID(10000 + i)
+		b.change(n, Ready, LongAgo)
+		b.do(&Event{Kind: EventPurge, Object: ObjectID(i + 1)})
+		b.do(&Event{Kind: EventView, View: ViewID(i + 1), Object: ObjectID(i), KB: 10, Left: time.Second})
+		b.do(&Event{Kind: EventLegEnd, View: ViewID(i + 1), Outcome: Succeeded, Note: NoteHit, Took: 10 * ms, Final: true})
+		b.change(n, Gone, LongAgo)
+		b.now += 2 * time.Second
+	}
+	r := b.r
+	fmt.Println(len(r.nodes), len(r.index), len(r.purges), len(r.views), len(r.byID), len(r.past), len(r.memory))
+	// Output:
+	// 35 35 4 1 0 3 16384
+}
+
 // The ordinary path allocates nothing once the slab has grown.
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
 	b := newBench(plain(), cacheA, cacheB)
