Fold repeats found on a read of the whole change; nothing decided otherwise

former used a closure for what walk returns anyway; learn computed an answer's body and its shortest time twice; a recalled size was tested twice; probe asked the cheap question last at every tick; the gate's type stood apart.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -118,13 +118,15 @@
 		cache: none, sending: usual.get(), hash: mix(uint64(e.Object) ^ uint64(e.Part)*0x9e3779b97f4a7c15)}
 	r.byID[e.View] = i
 	m := r.recall(v)
-	if v.sized = e.KB > 0 && r.set.FlowKB > 0 && !t.Write; v.sized {
+	v.sized = e.KB > 0 && r.set.FlowKB > 0 && !t.Write
+	v.known = v.sized || m != nil && m.sending > 0
+	switch {
+	case v.sized:
 		v.sending = time.Duration(e.KB / r.set.FlowKB * float64(time.Second))
 		usual.add(v.sending, 0.02)
-	} else if m != nil && m.sending > 0 {
+	case v.known:
 		v.sending = m.sending
 	}
-	v.known = v.sized || m != nil && m.sending > 0
 	v.due = min(v.end, r.now+t.Due+time.Duration(t.DueStretch*float64(v.sending)))
 	v.spare = r.overAllowance(int(e.Tenant))
 	r.retries = min(retriesMost, r.retries+retriesEach)
@@ -434,19 +436,18 @@
 	if m.seen = r.now; l.kept || e.Note == NoteHit {
 		m.at = l.node
 	}
-	stretch := 1.0
+	body, stretch := e.Took-e.Waited, 1.0
 	if v.sending > 0 {
-		stretch = float64(e.Took-e.Waited) / float64(v.sending)
+		stretch = float64(body) / float64(v.sending)
 	}
 	if e.Note == NoteHit {
-		if !v.sized && (n.load < calm || m.sending == 0 || e.Took < m.sending) {
-			// The shortest time seen is nearest to the sending time at full pace.
-			if m.sending == 0 || e.Took < m.sending {
-				m.sending = e.Took
-			}
-			if n.load < calm || row.usual.n < sizesSeen {
-				row.usual.add(m.sending, 0.02)
-			}
+		// The shortest time seen is nearest to the sending time at full pace.
+		shorter := !v.sized && (m.sending == 0 || e.Took < m.sending)
+		if shorter {
+			m.sending = e.Took
+		}
+		if !v.sized && n.load < calm || shorter && row.usual.n < sizesSeen {
+			row.usual.add(m.sending, 0.02)
 		}
 		if v.known && !far && v.sending >= 100*ms && r.warm(l.node) >= 1 {
 			n.pipe.learn(stretch, n.pipe.busy+l.duty)
@@ -456,7 +457,6 @@
 	if !filled || s.role == roleCache {
 		return
 	}
-	body := e.Took - e.Waited
 	s.drag += (min(dragMost, float64(body)/float64(l.expect+ms)) - s.drag) / 8
 	if s.role == roleParent && body > dragging*l.expect+overdue && (v.known || r.drags(l.source)) {
 		r.bad(l.source, badSoft)
@@ -620,8 +620,8 @@
 
 // probe asks for the state of the location's link, where no answer tells.
 func (r *Router) probe() {
-	told := r.set.Probes && r.set.Reports == ViaProbe && slices.Contains(r.set.Columns, SignalPipe)
-	if !told || r.now < r.probeAt || len(r.caches.members) == 0 {
+	if r.now < r.probeAt || len(r.caches.members) == 0 || !r.set.Probes || r.set.Reports != ViaProbe ||
+		!slices.Contains(r.set.Columns, SignalPipe) {
 		return
 	}
 	r.probeAt = r.now + probeEach
@@ -777,8 +777,7 @@
 		return f != v.cache && r.usable(f) && !r.nodes[f].health.out && r.warm(f) >= 1
 	}
 	for i := len(r.past) - 1; i >= 0 && r.now-r.past[i].until < relayFor; i-- {
-		f := none
-		r.walk(&r.past[i].ring, v.hash, func(c int32) bool { f = c; return true })
+		f := r.walk(&r.past[i].ring, v.hash, func(int32) bool { return true })
 		if f != none && good(f) {
 			return f
 		}
--- a/rules/state.go
+++ b/rules/state.go
@@ -153,6 +153,15 @@
 	goods  int
 }
 
+// gate counts the fills that wait for the origin.
+type gate struct {
+	window, out float64
+	wait        time.Duration // usual time to the first byte by way of the origin
+	via         float64       // share of the parents' fills that went to the origin
+	cut, good   time.Duration // when it was narrowed, when an answer came in good time
+	shut        bool          // as last logged
+}
+
 // rate is a fading sum over a span, divided by it; most is its slowly fading peak.
 type rate struct {
 	value, most float64
@@ -409,15 +418,6 @@
 	}
 }
 
-// gate counts the fills that wait for the origin.
-type gate struct {
-	window, out float64
-	wait        time.Duration // usual time to the first byte by way of the origin
-	via         float64       // share of the parents' fills that went to the origin
-	cut, good   time.Duration // when it was narrowed, when an answer came in good time
-	shut        bool          // as last logged
-}
-
 // rebuild makes the rings anew and keeps the last ones for the relay.
 func (r *Router) rebuild() {
 	var caches, parents []int32
