Reckon links, the gate and cold budgets by this router's part of the whole

Cause: many routers share a location and each sees few views, so figures fixed per router added up to herds (gate floor, one view each to a cold cache) and own transfers told little of a shared link. May hurt: a router alone in a quiet hour is slower to learn a link that others fill.

--- a/rules/router.go
+++ b/rules/router.go
@@ -14,7 +14,7 @@
 		r.share = 1 / float64(set.ZoneRouters[z])
 	}
 	if z < len(set.ZoneInlet) && set.FlowKB > 0 {
-		r.inlet.room = set.ZoneInlet[z] / set.FlowKB * r.share
+		r.inlet.room = set.ZoneInlet[z] / set.FlowKB
 	}
 	if r.set.Legs <= 0 || r.set.Legs > maxLegs {
 		r.set.Legs = maxLegs
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -23,10 +23,8 @@
 // Timers. tick is how often views in hand are looked over: well under the shortest due time, and cheap.
 // followWait is how long after a failed call the list is asked for again, and as much more by chance.
 const (
-	timerTick  = 0
-	timerList  = 1
-	tick       = 20 * ms
-	followWait = 250 * ms
+	timerTick, timerList = 0, 1
+	tick, followWait     = 20 * ms, 250 * ms
 )
 
 // The stages of a view, the ways in which a leg can end, and what follows.
@@ -142,24 +140,14 @@
 
 // Further legs after a failure are bounded to this many a view on average, with a reserve for a burst: enough
 // for a fifth of all views to fail once, too few to double the load when everything fails.
-const (
-	retriesEach = 0.25
-	retriesMost = 20
-)
+const retriesEach, retriesMost = 0.25, 20
 
 // overAllowance: the tenant has had its share of views lately; such a view must not crowd out others.
 func (r *Router) overAllowance(tenant int) bool {
 	if tenant >= len(r.tenants) || r.set.Tenants[tenant].Allowance <= 0 {
 		return false
 	}
-	a, each := &r.tenants[tenant], r.set.Tenants[tenant].Allowance/float64(max(1, r.set.Routers))
-	a.left = min(each, a.left+each*(r.now-a.at).Seconds()) - 1
-	a.at = r.now
-	if a.left < 0 {
-		a.left++
-		return true
-	}
-	return false
+	return !r.tenants[tenant].take(r.set.Tenants[tenant].Allowance/float64(max(1, r.set.Routers)), r.now)
 }
 
 // start sends a view by the ordinary path: the ring's cache, the former owner if the slot moved, the parent.
@@ -209,7 +197,26 @@
 	if filled && src != r.origin {
 		expect += r.gate.wait
 	}
-	return r.gate.out < gateLeast || r.gate.out < r.gate.window && r.now+expect <= v.due
+	return r.hasPlace(gateLeast) || r.hasPlace(r.gate.window) && r.now+expect <= v.due
+}
+
+// gateCaches is how many caches a router with a whole gate has behind it: one of many routers that share few
+// caches gets less, and less than a place is a part of the time. trialEach is the distance of trials of a
+// whole gate while it is shut: failures may come at once, so that places alone would let a herd through.
+const gateCaches, trialEach = 4, 100 * ms
+
+// gatePart is this router's part of a whole gate.
+func (r *Router) gatePart() float64 {
+	return min(1, r.share*float64(max(1, len(r.caches.members)))/gateCaches)
+}
+
+// hasPlace says whether the gate has a place of so many.
+func (r *Router) hasPlace(places float64) bool {
+	if r.gate.window <= gateLeast {
+		return r.gate.out.busy < gateLeast && r.now >= r.gate.next
+	}
+	places *= r.gatePart()
+	return r.gate.out.busy < max(1, places) && (places >= 1 || r.gate.out.usualBy(r.now) < places)
 }
 
 // direct passes the caches by: only where the settings allow it and no cache of the location is fit to be
@@ -247,10 +254,7 @@
 // send is the gate through which every leg passes; it holds the guards of the five rules and reports whether
 // the leg went out.
 func (r *Router) send(v *view, st stage, n, src int32, how How) bool {
-	t, weight := &r.set.Tariffs[v.tariff], r.rows[v.tariff].usual.get()
-	if r.rows[v.tariff].usual.n < sizesSeen {
-		weight = t.Due // until sizes are known: longer than any usual view
-	}
+	t := &r.set.Tariffs[v.tariff]
 	// Rule 1: nothing for a view that is answered, nor so late that its answer cannot come back.
 	if !v.open || v.streaming || v.n >= r.set.Legs || v.end-r.now < 2*ms {
 		return false
@@ -260,14 +264,14 @@
 		return false
 	}
 	// Rules 3 and 4: nothing past its grace, no more to a cold node than it bears, as view or as source.
-	if !r.usable(n) || !r.usable(src) || !r.affordable(n) || src != n && !r.affordable(src) {
+	if !r.usable(n) || !r.usable(src) || !r.affordable(v, n) || src != n && !r.affordable(v, src) {
 		return false
 	}
-	r.nodes[n].spent.add(weight.Seconds(), r.now, r.set.FallFor)
+	r.charge(v, n, 1)
 	l := leg{node: n, source: src, sent: r.now, out: true, ran: true}
 	l.expect, l.duty, l.filled = r.predict(v, n, src)
 	if l.filled {
-		r.nodes[src].spent.add(weight.Seconds(), r.now, r.set.FallFor)
+		r.charge(v, src, 1)
 	}
 	l.held = how&HowHoldsOnly != 0
 	if !l.held && src != n && r.nodes[src].role != roleCache && !t.Write {
@@ -275,7 +279,8 @@
 		if src != r.origin && v.stage != stageHeld {
 			l.gate *= r.gate.via
 		}
-		r.gate.out += l.gate
+		r.gate.out.add(l.gate, r.now)
+		r.gate.next = r.now + time.Duration((0.5+r.rng.float())*float64(trialEach)/r.gatePart())
 	}
 	for _, d := range [2]*health{&r.nodes[n].health, &r.nodes[src].health} {
 		if d.out {
@@ -372,7 +377,7 @@
 	l.out = false
 	v.outs--
 	r.hold(l, -1)
-	r.gate.out -= l.gate
+	r.gate.out.add(-l.gate, r.now)
 	switch e.Outcome {
 	case Full, Unconnected, Moot, Missed:
 		l.ran = false
@@ -431,7 +436,7 @@
 	}
 	far := n.role != roleCache
 	filled := far || e.Note == NoteFilled || e.Note == NoteViaOrigin
-	n.carries.add(v.sending.Seconds(), r.now, time.Second)
+	n.carries.add(v.sending.Seconds(), r.now, r.carriesOver(l.node))
 	m := r.remember(v)
 	if m.seen = r.now; l.kept || e.Note == NoteHit {
 		m.at = l.node
@@ -450,7 +455,7 @@
 			row.usual.add(m.sending, 0.02)
 		}
 		if v.known && !far && v.sending >= 100*ms && r.warm(l.node) >= 1 {
-			n.pipe.learn(stretch, n.pipe.busy+l.duty)
+			n.pipe.learn(stretch, r.total(&n.pipe)+l.duty)
 		}
 	}
 	s := &r.nodes[l.source]
@@ -463,12 +468,10 @@
 	} else {
 		r.good(l.source, l.sent)
 	}
-	s.carries.add(v.sending.Seconds(), r.now, time.Second)
-	if v.known && stretch < stretched {
-		r.inlet.even = r.now
-	}
-	if v.known && v.sending >= 100*ms && (stretch < stretched || stretch > 1.5*n.pipe.stretch(r.warm(l.node))) {
-		r.inlet.learn(stretch, r.inlet.busy+l.duty)
+	s.carries.add(v.sending.Seconds(), r.now, r.carriesOver(l.source))
+	own := 1.5 * r.stretch(&n.pipe, r.warm(l.node))
+	if v.known && v.sending >= 100*ms && (stretch < stretched || stretch > own) {
+		r.inlet.learn(stretch, r.total(&r.inlet)+l.duty)
 	}
 	via := 0.0 // did the parent have it?
 	if e.Note == NoteViaOrigin || s.role == roleOrigin {
@@ -485,10 +488,7 @@
 // dragging is how many times its prediction the body of a fill may take before its parent counts as failing:
 // the location's links are in the prediction, so what is left is the parent's own. Guards against slow and
 // throttled parents that begin to answer in good time. dragMost bounds what one odd fill can tell.
-const (
-	dragging = 2
-	dragMost = 8
-)
+const dragging, dragMost = 2, 8
 
 // drags compares a parent's fills with those of the others: where sizes are only guessed, one long body tells
 // nothing, but they are guessed alike for all parents.
@@ -551,10 +551,7 @@
 // fullFor is how long a cache that turned a view away is asked for no fills: some transfers end meanwhile.
 // overdue is how far past twice its predicted time a leg may be before silence counts: a short pause of a
 // node or a resent packet should fit.
-const (
-	fullFor = 100 * ms
-	overdue = 150 * ms
-)
+const fullFor, overdue = 100 * ms, 150 * ms
 
 // lookOver sends writes again, and finds overdue legs. One whose node, or source, has shown no sign of life
 // since it was sent gets a second copy by another way. Guards against silent caches and parents (vanished,
@@ -571,26 +568,29 @@
 		}
 		for k := range v.n {
 			l := &v.legs[k]
-			if !l.out || l.nudged || v.sending == 0 || r.now-l.sent < 2*l.expect+overdue || l.node == r.origin {
+			age := r.now - l.sent
+			if !l.out || l.nudged || v.sending == 0 || age < 2*l.expect+overdue || l.node == r.origin {
 				continue
 			}
 			silent := none
 			switch {
-			case r.nodes[l.node].heard < l.sent:
-				silent = l.node
-			case v.sized && l.filled && l.gate > 0 && !l.slow && r.now-l.sent > 2*v.sending+r.gate.wait:
+			case v.sized && l.filled && l.gate > 0 && !l.slow && age > 2*v.sending+r.gate.wait:
 				l.slow = true
-				r.gate.learn(r.now-l.sent, true, r.now)
+				r.gate.learn(age, true, r.now)
 				continue
-			case !l.filled || !l.held && r.now-l.sent < 2*(l.expect+r.gate.wait)+overdue:
+			case !l.held && age < 2*(l.expect+r.gate.wait)+overdue && l.filled:
 				continue // it may well wait for the origin
+			case r.nodes[l.node].heard < l.sent:
+				silent = l.node
+			case !l.filled:
+				continue
 			case l.source != r.origin && r.set.Tells == TellsAll && r.nodes[l.source].heard < l.sent:
 				silent = l.source
 			}
 			l.nudged = true
 			if silent != none {
 				r.bad(silent, badHard)
-				r.gate.out -= l.gate // nothing of it waits for the origin any more
+				r.gate.out.add(-l.gate, r.now) // nothing of it waits for the origin any more
 				l.gate = 0
 			} else if !v.known {
 				continue // it may just be long
@@ -630,20 +630,19 @@
 	}
 }
 
-// evenFor is how long a transfer at full pace gainsays reports of a full link.
-const evenFor = 500 * ms
-
 // report reads a load report.
 func (r *Router) report(n int32, rep *Report) {
+	total := r.total(&r.inlet)
 	for i := range min(rep.N, len(r.set.Columns)) {
 		x := rep.V[i]
 		switch {
 		case r.set.Columns[i] == SignalBusy:
 			r.nodes[n].load = x
-		case r.set.Columns[i] == SignalPipe && r.nodes[n].role == roleCache && x > 0.2 && r.inlet.busy > 0.5:
-			// Reports that our own fills gainsay are passed over; one fill always goes.
-			if seen := max(1, r.inlet.busy/x); seen > r.inlet.room || r.now-r.inlet.even > evenFor {
-				r.inlet.room += (seen - r.inlet.room) / 10
+		case r.set.Columns[i] == SignalPipe && r.nodes[n].role == roleCache && x > 0.2 && total > 0.5:
+			if room := r.inlet.room; room <= 0 {
+				r.inlet.room = max(1, total/x)
+			} else {
+				r.inlet.room += (max(1, total/x) - room) / 10
 			}
 		}
 	}
@@ -655,24 +654,15 @@
 
 // pick walks the ring from the view's point to the first cache that may have it: listed, in health, warm
 // enough for this object, not asked yet, and predicted in time. If none is in time, it is the first: it may
-// hold the object. Where most caches are out, health is not asked, but for silence where views may pass the
-// caches by: what fails everywhere at once is shared, and no cache is better than another.
+// hold the object.
 func (r *Router) pick(v *view) int32 {
-	sick := 0
-	for _, c := range r.caches.members {
-		if r.nodes[c].health.out {
-			sick++
-		}
-	}
-	few := 2*sick <= len(r.caches.members)
 	p, failing := r.parent(v)
 	if failing {
 		p = r.origin
 	}
 	first, left := none, spill+1
 	found := r.walk(&r.caches, v.hash, func(c int32) bool {
-		heed := few || r.nodes[c].health.silent && r.set.Direct
-		if !r.admits(c, v.hash) || !r.affordable(c) || r.asked(v, c) || heed && !r.healthy(c) {
+		if !r.admits(c, v.hash) || !r.affordable(v, c) || r.asked(v, c) || !r.healthy(c) {
 			return false
 		}
 		if first == none {
@@ -706,22 +696,41 @@
 	return 1
 }
 
-// coldSafety is the part of a cold node's budget that this router allows itself. A fading sum over the window
-// lets a burst of twice the rate through, and other routers' chance must fit too. guessCarries stands for
-// what a warm one carries before any was seen to: one transfer.
+// coldSafety is the part of a cold node's budget that all routers together allow themselves: chance must fit
+// too. guessCarries stands for what a warm one carries before any was seen to: one transfer. carriesFor is
+// the span over which this is measured by a router alone; one of many sees less and takes longer, to
+// carriesMost.
 const (
-	coldSafety   = 0.36
-	guessCarries = 1
+	coldSafety, guessCarries = 0.6, 1
+	carriesFor, carriesMost  = time.Second, 15 * time.Second
 )
 
-// affordable says whether a cold node can bear one more view: what this router sent it lately must stay under
-// the stated multiple of what others like it were seen to carry for this router at their best, or it before
-// it restarted, times its warmth; those that carried far less tell of little use, not of a small link. Guards
-// rule 4 when the load is far from usual: a lost location, retries, a dead neighbour.
-func (r *Router) affordable(n int32) bool {
-	warm := r.warm(n)
+// carriesOver is the span over which what a node carries for this router is measured.
+func (r *Router) carriesOver(n int32) time.Duration {
+	return min(carriesMost, time.Duration(float64(carriesFor)/r.part(n)))
+}
+
+// affordable says whether a cold node can bear this view from this router now.
+func (r *Router) affordable(v *view, n int32) bool {
+	if d := &r.nodes[n]; d.next < d.started && r.warm(n) < 1 {
+		r.charge(v, n, r.rng.float()*(1-r.part(n)))
+	}
+	return r.warm(n) >= 1 || r.now >= r.nodes[n].next
+}
+
+// charge puts the next view to a cold node as far off as this router's part of its budget asks: the stated
+// multiple of what others like it were seen to carry for this router at their best, or it before it
+// restarted, times its warmth; those that carried far less tell of little use, not of a small link. What one
+// window allows may go at once; a router whose part is less than one view a window waits its turn, from a
+// start by chance, so that many routers together keep the budget. Guards rule 4 when the load is far from
+// usual: a lost location, retries, a dead neighbour.
+func (r *Router) charge(v *view, n int32, times float64) {
+	weight, warm := r.rows[v.tariff].usual.get(), r.warm(n)
 	if warm >= 1 {
-		return true
+		return
+	}
+	if r.rows[v.tariff].usual.n < sizesSeen {
+		weight = r.set.Tariffs[v.tariff].Due // until sizes are known: longer than any usual view
 	}
 	d, sum, count := &r.nodes[n], 0.0, 0.0
 	for i := range r.nodes {
@@ -731,12 +740,13 @@
 			count++
 		}
 	}
-	carries := max(guessCarries*r.share, sum/max(1, count))
 	multiple := r.set.FallMultiple
 	if d.role == roleParent {
 		multiple = r.set.ParentFallMultiple
 	}
-	return d.spent.now(r.now, r.set.FallFor) < coldSafety*multiple*warm*carries
+	carries := max(guessCarries*r.part(n), sum/max(1, count))
+	gap := time.Duration(float64(weight) / (coldSafety * multiple * warm * carries))
+	d.next = max(d.next, r.now-max(0, r.set.FallFor-gap)) + time.Duration(times*float64(gap))
 }
 
 // mostFor is how long the peak of a rate is remembered: some times as long as a trouble lasts.
@@ -750,7 +760,8 @@
 func (r *Router) parent(v *view) (p int32, failing bool) {
 	p = r.walk(&r.parents, v.hash, func(c int32) bool {
 		h := &r.nodes[c].health
-		return r.admits(c, v.hash) && r.affordable(c) && (!h.out || r.now-h.since < remapAfter || r.now >= h.until)
+		lost := h.out && r.now-h.since >= remapAfter && r.now < h.until
+		return !lost && r.admits(c, v.hash) && r.affordable(v, c)
 	})
 	return p, p != none && !r.healthy(p)
 }
@@ -759,7 +770,7 @@
 // for a failing parent's objects.
 func (r *Router) nextParent(v *view) int32 {
 	return r.walk(&r.parents, v.hash, func(c int32) bool {
-		return !v.filledFrom(c) && !r.nodes[c].health.out && r.admits(c, v.hash) && r.affordable(c)
+		return !v.filledFrom(c) && !r.nodes[c].health.out && r.admits(c, v.hash) && r.affordable(v, c)
 	})
 }
 
@@ -790,13 +801,17 @@
 
 // stretch is how many times longer than alone one more transfer takes, on a link that gives a part of its
 // room.
-func (p *pipe) stretch(part float64) float64 {
+func (r *Router) stretch(p *pipe, part float64) float64 {
 	if p.room <= 0 {
 		return 1
 	}
-	return max(1, (p.busy+1)/(p.room*part))
+	return max(1, (r.total(p)+1)/(p.room*part))
 }
 
+// usualOver is the span over which a link's usual load by this router is measured, to tell what others of its
+// kind put on it: some views, even where each router has few.
+const usualOver = 5 * time.Second
+
 // stretched parts a transfer at full pace, with the noise of its size and way, from one that shared a full
 // link.
 const stretched = 1.25
@@ -822,13 +837,13 @@
 	if r.set.Tariffs[v.tariff].Write {
 		return v.sending, 0, false
 	}
-	s := r.nodes[n].pipe.stretch(r.warm(n))
+	s := r.stretch(&r.nodes[n].pipe, r.warm(n))
 	wait := time.Duration(0)
 	// A view past the caches comes through the location's link whatever the parent holds.
 	far := r.nodes[n].role != roleCache
 	filled = far || src != n && src != none && !r.holds(v, n)
 	if filled && (far || r.nodes[src].role != roleCache) {
-		s = max(s, r.inlet.stretch(1))
+		s = max(s, r.stretch(&r.inlet, 1))
 		wait = r.nodes[src].wait
 		if src == r.origin {
 			wait = r.gate.wait
@@ -881,13 +896,15 @@
 )
 
 func (g *gate) learn(wait time.Duration, late bool, now time.Duration) {
-	// A running median: waits are skewed, and a few long ones don't make the next one late.
-	if g.wait == 0 {
+	// A running median: waits are skewed, and a few long ones don't make the next one late. Where answers are
+	// few, each moves it further.
+	step := time.Duration(min(0.4, 0.07+0.15*(now-g.heard).Seconds()) * float64(g.wait))
+	if g.heard = now; g.wait == 0 {
 		g.wait = wait
 	} else if wait > g.wait {
-		g.wait += g.wait / 10
+		g.wait += step
 	} else {
-		g.wait -= g.wait / 10
+		g.wait -= step
 	}
 	if late {
 		g.fail(now)
@@ -906,10 +923,7 @@
 
 // A failure moves the rate of failures by this much: an error answer is softer evidence than a lost
 // connection.
-const (
-	badSoft = 0.15
-	badHard = 0.3
-)
+const badSoft, badHard = 0.15, 0.3
 
 // sickAt is the rate at which a node goes out: two lost connections, or four errors in a row. Trials begin
 // after firstPause, then at twice the distance up to lastPause; wellAfter good ones in a row end them.
@@ -966,10 +980,7 @@
 
 // memorySize is a power of two, some times what is asked for within heldFor, which is how long a cache is
 // expected to hold what was not asked for again.
-const (
-	memorySize = 1 << 14
-	heldFor    = 10 * time.Second
-)
+const memorySize, heldFor = 1 << 14, 10 * time.Second
 
 // holds says whether the node is expected to have the view's object.
 func (r *Router) holds(v *view, n int32) bool {
@@ -977,18 +988,10 @@
 	return m != nil && m.at == n && r.now-m.seen < heldFor && m.seen >= r.nodes[n].started
 }
 
-// huge is how many times the usual size an object must have to be passed through at first sight.
-const huge = 6
-
-// rank is the rank at which a copy is kept: the lowest at first sight, the next when it is asked for again,
-// none for what is far larger than usual and was never asked for.
+// rank is the rank at which a copy is kept: the lowest at first sight, the next when it is asked for again.
 func (r *Router) rank(v *view) uint8 {
-	usual := r.rows[v.tariff].usual.get()
-	switch m := r.recall(v); {
-	case m != nil && m.count > 0:
+	if m := r.recall(v); m != nil && m.count > 0 {
 		return 2
-	case usual > 0 && v.sending > huge*usual:
-		return 0
 	}
 	return 1
 }
@@ -1009,7 +1012,4 @@
 
 // ringPoints a member evens the arcs to some six in a hundred. pastRings are kept for the relay: a deploy
 // changes the list every few seconds.
-const (
-	ringPoints = 200
-	pastRings  = 3
-)
+const ringPoints, pastRings = 200, 3
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -168,7 +168,7 @@
 	fmt.Printf("%d of 20 went to A while it was cold\n", toA)
 	// Output:
 	//  17.00s view 1000: leg to A, fill from B, holds-only
-	// 2 of 20 went to A while it was cold
+	// 1 of 20 went to A while it was cold
 }
 
 // Rule 4, found by a hunt on counter-net: a fresh router that knows no sizes, and a location that is all cold. Until
@@ -185,7 +185,53 @@
 	}
 	fmt.Printf("%d of 200 went to A at once\n", sent)
 	// Output:
-	// 2 of 200 went to A at once
+	// 1 of 200 went to A at once
+}
+
+// Rule 4, found on branch-library grown: twenty routers share a location, and each is less than one view of a cold
+// cache's budget. They take turns, from a start by chance, in place of one view each at once.
+func Example_coldAmongMany() {
+	set := plain()
+	set.Routers, set.ZoneRouters = 20, []int{0, 0, 20}
+	sent := 0
+	for seed := range 20 {
+		b := newBench(set, cacheA)
+		b.r.rng, b.mute = newPCG(uint64(seed)), true
+		b.change(cacheA, Ready, b.now)
+		for o := ObjectID(1); o <= 300; o++ {
+			b.acts = b.r.Handle(b.now, &Event{Kind: EventView, View: ViewID(o), Object: o, Left: time.Second}, b.acts[:0])
+			if b.acts[0].Node == cacheA {
+				sent++
+			}
+			b.now += 20 * ms
+		}
+	}
+	fmt.Printf("%d in 6 s; 3 within 3 s would push it over\n", sent)
+	// Output:
+	// 2 in 6 s; 3 within 3 s would push it over
+}
+
+// Links are reckoned whole: a router alone, with one fill at a time, finds a link that fits one free; one of twenty finds
+// it full once its own fills tell what the others have there, and asks the caches only.
+func Example_sharedLink() {
+	for _, routers := range []int{1, 20} {
+		set, fills := plain(), 0
+		set.Routers, set.ZoneRouters, set.ZoneInlet = routers, []int{0, 0, routers}, []float64{0, 0, 1000}
+		b := newBench(set, cacheA, cacheB)
+		b.mute = true
+		for id := ViewID(1); id <= 30; id++ {
+			b.view(id, 0, ObjectID(id)*1000)
+			if b.acts[0].Source != b.acts[0].Node {
+				fills++
+			}
+			b.now += 400 * ms
+			b.do(&Event{Kind: EventLegEnd, View: id, Outcome: Succeeded, Note: NoteFilled, Took: 400 * ms, Waited: ms, Final: true})
+		}
+		fmt.Printf("%d routers: %d of 30 views are filled\n", routers, fills)
+	}
+	// Output:
+	// 1 routers: 30 of 30 views are filled
+	// 20 routers: 8 of 30 views are filled
 }
 
 // Rule 5: after a purge only younger copies will do, until all old ones are dropped.
@@ -246,7 +292,7 @@
 	b.end(44, cacheA, 20*ms, Missed, NoteLacks)
 	// Output:
 	//   60.00s view 42: leg to A, fill from P
-	//  60.00s view 43: leg to A, fill from Q
+	//  60.00s view 43: leg to A, fill from Q, holds-only
 	//  60.00s view 44: leg to A, fill from Q, holds-only
 	//  60.02s view 44: turned back
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -39,7 +39,7 @@
 	wait    time.Duration // usual time to the first byte of a fill that it holds
 	drag    float64       // usual length of a fill's body over its prediction
 	carries rate          // sending time a second that it has answered in
-	spent   rate          // sending time a second that it was sent lately
+	next    time.Duration // while it is cold: nothing from this router before
 	load    float64       // its last report of how busy it is
 	seen    int           // last walk of a ring that met it
 }
@@ -155,27 +155,40 @@
 
 // gate counts the fills that wait for the origin.
 type gate struct {
-	window, out float64
-	wait        time.Duration // usual time to the first byte by way of the origin
-	via         float64       // share of the parents' fills that went to the origin
-	cut, good   time.Duration // when it was narrowed, when an answer came in good time
-	shut        bool          // as last logged
-}
-
-// rate is a fading sum over a span, divided by it; most is its slowly fading peak.
+	window    float64
+	out       pipe          // busy: the fills that wait
+	wait      time.Duration // usual time to the first byte by way of the origin
+	via       float64       // share of the parents' fills that went to the origin
+	cut, good time.Duration // when it was narrowed, when an answer came in good time
+	heard     time.Duration // when it last learned of the wait
+	next      time.Duration // no trial before, while it is shut
+	shut      bool          // as last logged
+}
+
+// rate is a fading sum over a span, divided by it or by what of it has been seen; most is its slowly fading
+// peak.
 type rate struct {
 	value, most float64
-	at          time.Duration
+	from, at    time.Duration
 }
 
 // row is what the module keeps by tariff: the usual sending time at full pace, or the time of a write.
 type row struct{ usual mean }
 
-// pipe is a link as this router's own transfers show it: room is how many fit at full pace, 0 for no
-// evidence. Where others share the link, room is this router's part.
+// pipe is a link as this router's own transfers show it: busy counts them, usual is their fading mean, room is
+// how many fit at full pace, those of others included, 0 for no evidence.
 type pipe struct {
-	busy, room float64
-	even       time.Duration // last transfer at full pace
+	busy, usual, room float64
+	at                time.Duration // when busy changed
+}
+
+func (p *pipe) usualBy(now time.Duration) float64 {
+	return p.busy + (p.usual-p.busy)*math.Exp(-float64(now-p.at)/float64(usualOver))
+}
+
+func (p *pipe) add(duty float64, now time.Duration) {
+	p.usual, p.at = p.usualBy(now), now
+	p.busy += duty
 }
 
 func (r *Router) act(a Action) { r.acts = append(r.acts, a) }
@@ -256,11 +269,19 @@
 }
 
 func (f *rate) add(x float64, now, over time.Duration) {
+	if f.at == 0 {
+		f.from = now
+	}
 	f.value = f.now(now, over) + x/max(over, ms).Seconds()
-	f.most = max(f.most*math.Exp(-float64(now-f.at)/float64(mostFor)), f.value)
+	f.most = max(f.most*math.Exp(-float64(now-f.at)/float64(mostFor)), f.value/seen(now-f.from, over))
 	f.at = now
 }
 
+// seen is the part of a fading sum that an age has filled; of very little, nothing can be told.
+func seen(age, over time.Duration) float64 {
+	return 1 - math.Exp(-max(0.2, float64(age)/float64(over)))
+}
+
 func (r *Router) newRing(members []int32) ring {
 	g, total := ring{members: members}, 0.0
 	for _, n := range members {
@@ -304,6 +325,30 @@
 	return none
 }
 
+// part is this router's part of the traffic of a node.
+func (r *Router) part(n int32) float64 {
+	if r.nodes[n].role == roleCache {
+		return r.share
+	}
+	return 1 / float64(max(1, r.set.Routers))
+}
+
+// total is how many transfers run on a link of the location by now: this router's, and for each of the others
+// that share it what this one usually has there.
+func (r *Router) total(p *pipe) float64 {
+	return p.busy + p.usualBy(r.now)*(1/r.share-1)
+}
+
+// take takes one view of an allowance a second, if there is one left.
+func (a *allowance) take(each float64, now time.Duration) bool {
+	a.left, a.at = min(each, a.left+each*(now-a.at).Seconds()), now
+	if a.left < 1 {
+		return false
+	}
+	a.left--
+	return true
+}
+
 // mean is a moving mean of times: a plain one at first, then at the pace given.
 type mean struct {
 	value float64
@@ -369,9 +414,9 @@
 
 // hold counts a leg at the links that it uses, or takes it off again.
 func (r *Router) hold(l *leg, sign float64) {
-	r.nodes[l.node].pipe.busy += sign * l.duty
+	r.nodes[l.node].pipe.add(sign*l.duty, r.now)
 	if l.filled && r.nodes[l.source].role != roleCache {
-		r.inlet.busy += sign * l.duty
+		r.inlet.add(sign*l.duty, r.now)
 	}
 }
 
