A late leg of a view that found no cache left no longer crashes the router

Cause: start sets the view's cache to none while an earlier leg is out; its end then filled at node -1.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -153,15 +153,18 @@
 // start sends a view by the ordinary path: the ring's cache, the former owner if the slot moved, the parent.
 func (r *Router) start(v *view) {
 	v.cache = r.pick(v)
-	if v.cache != none && r.fill(v, stageRelay) || v.cache == none && r.set.Direct && r.direct(v) {
+	if r.fill(v, stageRelay) || v.cache == none && r.set.Direct && r.direct(v) {
 		return
 	}
 	r.giveUp(v)
 }
 
 // fill sends the view to its cache with the source of the stage, or of a later stage where that one cannot be
-// gone to. It reports whether a leg went out.
+// gone to. It reports whether a leg went out. None does where an earlier leg ends after no cache was left.
 func (r *Router) fill(v *view, st stage) bool {
+	if v.cache == none {
+		return false
+	}
 	if st == stageRelay {
 		f := r.former(v)
 		if f != none && r.inTime(v, v.cache, f) && r.send(v, stageRelay, v.cache, f, HowHoldsOnly) {
@@ -600,6 +603,7 @@
 			}
 			r.retries--
 			if silent == l.source && silent != l.node {
+				v.cache = l.node
 				r.fill(v, stageOrigin)
 			} else if c := r.pick(v); c != none {
 				v.cache = c
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -188,6 +188,22 @@
 	// 1 of 200 went to A at once
 }
 
+// Found on branch-library grown: a second copy finds no cache left while the first leg is still out; its late end must not
+// be taken for one at that cache.
+func Example_noCacheLeft() {
+	set := plain()
+	set.Direct = false
+	b := newBench(set, cacheA, cacheB)
+	b.view(1, 0, b.first(cacheA, parentP))
+	b.pass(400 * ms) // overdue and silent: a second copy
+	b.do(&Event{Kind: EventLegEnd, View: 1, Leg: 1, Node: cacheB, Outcome: Full, Note: NoteNoPlace})
+	b.do(&Event{Kind: EventLegEnd, View: 1, Leg: 0, Node: cacheA, Outcome: Missed, Note: NoteLacks})
+	// Output:
+	//   0.00s view 1: leg to A, fill from P
+	//   0.36s view 1: leg to B, fill from P
+	//   0.40s view 1: turned back
+}
+
 // Rule 4, found on branch-library grown: twenty routers share a location, and each is less than one view of a cold
 // cache's budget. They take turns, from a start by chance, in place of one view each at once.
 func Example_coldAmongMany() {
