A router's few answers move its part of the gate further; a slow node has less room than one transfer

Change: the gate narrows to 0.05 to 0.75 and widens by 0.5 to 2, by the router's part of a whole gate; trials of a shut gate keep 600 ms of a whole gate apart; the room of a cache's link may fall under one transfer, is believed for 2 s without news, and is learned at twice the pace where transfers are few; a node wrongly taken for silent is not taken for restarted. Guards also a stopped origin, a cold start of all caches; may hurt where one late answer is chance: a small part is shut for some seconds.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -204,9 +204,10 @@
 }
 
 // gateCaches is how many caches a router with a whole gate has behind it: one of many routers that share few
-// caches gets less, and less than a place is a part of the time. trialEach is the distance of trials of a
-// whole gate while it is shut: failures may come at once, so that places alone would let a herd through.
-const gateCaches, trialEach = 4, 100 * ms
+// caches gets less, and less than a place is a part of the time. trialEach is the distance of trials of a whole
+// gate while it is shut: failures may come at once, so that places alone would let a herd through, and parents
+// and caches try on their own.
+const gateCaches, trialEach = 4, 600 * ms
 
 // gatePart is this router's part of a whole gate.
 func (r *Router) gatePart() float64 {
@@ -218,7 +219,7 @@
 	if r.gate.window <= gateLeast {
 		return r.gate.out.busy < gateLeast && r.now >= r.gate.next
 	}
-	places *= r.gatePart()
+	places *= r.gate.part
 	return r.gate.out.busy < max(1, places) && (places >= 1 || r.gate.out.usualBy(r.now) < places)
 }
 
@@ -283,7 +284,7 @@
 			l.gate *= r.gate.via
 		}
 		r.gate.out.add(l.gate, r.now)
-		r.gate.next = r.now + time.Duration((0.5+r.rng.float())*float64(trialEach)/r.gatePart())
+		r.gate.next = r.now + time.Duration((0.5+r.rng.float())*float64(trialEach)/r.gate.part)
 	}
 	for _, d := range [2]*health{&r.nodes[n].health, &r.nodes[src].health} {
 		if d.out {
@@ -292,11 +293,6 @@
 	}
 	r.hold(&l, 1)
 	a := Action{Kind: ActionGet, View: v.id, Node: r.nodes[n].id, Source: r.nodes[src].id, How: how}
-	if l.filled && l.gate > 0 && v.sized && r.now-r.gate.cut < troubled {
-		// While the origin is in trouble, a fill that has not begun by the due time holds a place, here and
-		// there, for nothing.
-		a.Limit = max(v.due-r.now, 0) + v.sending
-	}
 	if !t.Write {
 		// Rule 5: nothing older than the last purge will do.
 		a.Age = r.oldest(v)
@@ -346,8 +342,7 @@
 	return n != none && (r.nodes[n].state == Ready || r.now-r.nodes[n].told < r.set.DrainGrace*9/10)
 }
 
-// backoff is the middle of the time to come back: about a due time, spread so that clients don't return at
-// once.
+// backoff is the middle of the time to come back: about a due time, spread against a common return.
 const backoff = 300 * ms
 
 // giveUp answers a view for good, unless a leg is still out that may answer it.
@@ -458,7 +453,7 @@
 			row.usual.add(m.sending, 0.02)
 		}
 		if v.known && !far && v.sending >= 100*ms && r.warm(l.node) >= 1 {
-			n.pipe.learn(stretch, r.total(&n.pipe)+l.duty)
+			n.pipe.learn(stretch, r.total(&n.pipe)+l.duty, 0.1, r.now)
 		}
 	}
 	s := &r.nodes[l.source]
@@ -474,7 +469,7 @@
 	s.carries.add(v.sending.Seconds(), r.now, r.carriesOver(l.source))
 	own := 1.5 * r.stretch(&n.pipe, r.warm(l.node))
 	if v.known && v.sending >= 100*ms && (stretch < stretched || stretch > own) {
-		r.inlet.learn(stretch, r.total(&r.inlet)+l.duty)
+		r.inlet.learn(stretch, r.total(&r.inlet)+l.duty, 1, r.now)
 	}
 	via := 0.0 // did the parent have it?
 	if e.Note == NoteViaOrigin || s.role == roleOrigin {
@@ -803,35 +798,43 @@
 	return none
 }
 
-// stretch is how many times longer than alone one more transfer takes, on a link that gives a part of its
-// room.
+// trusted is how long a room under one transfer is believed without news: then one goes on trial.
+const trusted = 2 * time.Second
+
+// stretch is how many times longer than alone one more transfer takes, on a link that gives a part of its room.
 func (r *Router) stretch(p *pipe, part float64) float64 {
 	if p.room <= 0 {
 		return 1
 	}
-	return max(1, (r.total(p)+1)/(p.room*part))
+	room := p.room
+	if r.now-p.told > trusted {
+		room = max(1, room)
+	}
+	return max(1, (r.total(p)+1)/(room*part))
 }
 
 // usualOver is the span over which a link's usual load by this router is measured, to tell what others of its
 // kind put on it: some views, even where each router has few.
 const usualOver = 5 * time.Second
 
-// stretched parts a transfer at full pace, with the noise of its size and way, from one that shared a full
-// link.
+// stretched parts a transfer at full pace, with the noise of its size and way, from one on a full link.
 const stretched = 1.25
 
 // learn takes the stretch of a transfer and how many ran beside it. One at full pace shows that more fit than
-// ran; a stretched one how many did. The pace of a tenth forgets in some ten transfers.
-func (p *pipe) learn(stretch, busy float64) {
+// ran; a stretched one how many did, at the least so many: a slow node gives less than one. A tenth forgets
+// in some ten transfers; where they are few, each counts twice.
+func (p *pipe) learn(stretch, busy, least float64, now time.Duration) {
+	pace := 0.1 + 0.1*min(1, (now-p.told).Seconds())
+	p.told = now
 	switch {
 	case stretch < stretched:
 		if p.room > 0 && busy+1 > p.room*0.7 {
 			p.room += 0.1 * max(1, busy+1-p.room)
 		}
 	case p.room <= 0:
-		p.room = max(1, busy/stretch*1.5)
+		p.room = max(least, busy/stretch*1.5)
 	default:
-		p.room += (max(1, busy/stretch) - p.room) / 10
+		p.room += pace * (max(least, busy/stretch) - p.room)
 	}
 }
 
@@ -890,13 +893,12 @@
 //
 // gateStart fits a usual load from the start on, but no herd of routers that know nothing yet; gateMost is
 // wide: the gate matters when the origin's answers say so. gateLeast keeps trials going. Answers within
-// gateEach were under way together and tell one thing. The origin counts as troubled for so long after one.
+// gateEach were under way together and tell one thing.
 const (
 	gateStart = 8
 	gateMost  = 24
 	gateLeast = 1
 	gateEach  = 100 * ms
-	troubled  = 2 * time.Second
 )
 
 func (g *gate) learn(wait time.Duration, late bool, now time.Duration) {
@@ -915,18 +917,20 @@
 		return
 	}
 	g.good = now
-	g.window = min(gateMost, g.window+0.5)
+	g.window = min(gateMost, g.window+0.5+1.5*g.few())
 }
 
+// few is how far a router with a part of a gate must take its few answers to speak for those of others.
+func (g *gate) few() float64 { return (1 - g.part) * (1 - g.part) }
+
 func (g *gate) fail(now time.Duration) {
 	if now-g.cut >= gateEach {
 		g.cut = now
-		g.window = max(gateLeast, g.window*0.75)
+		g.window = max(gateLeast, g.window*(0.75-0.7*g.few()))
 	}
 }
 
-// A failure moves the rate of failures by this much: an error answer is softer evidence than a lost
-// connection.
+// A failure moves the rate of failures by this much: an error answer is softer than a lost connection.
 const badSoft, badHard = 0.15, 0.3
 
 // sickAt is the rate at which a node goes out: two lost connections, or four errors in a row. Trials begin
@@ -964,16 +968,12 @@
 	d.heard = r.now
 	h := &d.health
 	h.rate -= badSoft * h.rate
-	if h.out && h.silent && sent < h.since {
-		*h = health{}
-		r.log("back, was never gone", n)
-	}
 	if !h.out {
 		return
 	}
+	h.silent = h.silent && sent >= h.since
 	if h.goods++; h.goods >= wellAfter {
-		// Gone without a word and back: taken for restarted, so cold and empty. A list that lags says so too
-		// late.
+		// Gone without a word and back: taken for restarted, so cold and empty. A list may say so too late.
 		if h.silent {
 			d.started = max(d.started, r.now-firstPause)
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -247,7 +247,7 @@
 	}
 	// Output:
 	// 1 routers: 30 of 30 views are filled
-	// 20 routers: 8 of 30 views are filled
+	// 20 routers: 9 of 30 views are filled
 }
 
 // Rule 5: after a purge only younger copies will do, until all old ones are dropped.
@@ -271,7 +271,7 @@
 }
 
 // Found on depot-records: a silent cache. A leg that is overdue at a node not heard of since gets a second copy, and
-// an answer that comes after all ends the outage without a restart being assumed.
+// three good answers end the outage; one to a leg sent before it shows that there was no restart.
 func Example_silence() {
 	b := newBench(plain(), cacheA, cacheB)
 	o := b.first(cacheA, parentP)
@@ -289,7 +289,7 @@
 	//   0.38s view 2: leg to B, fill from P
 	//   0.52s view 3: leg to B, fill from P
 	//   0.62s view 1: leg 1 cancelled
-	//   0.62s view 4: leg to A, fill from P
+	//   0.62s view 4: leg to B, fill from P
 }
 
 // Found on branch-library: a slow origin. Late fills close the gate; then the parent is asked holds-only, and a view
@@ -301,16 +301,17 @@
 		b.view(id, 0, ObjectID(id))
 		b.end(id, cacheA, 1500*ms, Succeeded, NoteViaOrigin)
 	}
+	b.pass(10 * time.Second) // trials keep a distance
 	b.mute = false
 	b.view(42, 0, 1000)
 	b.view(43, 0, 1001)
 	b.view(44, 0, 1002)
 	b.end(44, cacheA, 20*ms, Missed, NoteLacks)
 	// Output:
-	//   60.00s view 42: leg to A, fill from P
-	//  60.00s view 43: leg to A, fill from Q, holds-only
-	//  60.00s view 44: leg to A, fill from Q, holds-only
-	//  60.02s view 44: turned back
+	//  70.00s view 42: leg to A, fill from P
+	//  70.00s view 43: leg to A, fill from Q, holds-only
+	//  70.00s view 44: leg to A, fill from Q, holds-only
+	//  70.02s view 44: turned back
 }
 
 // Found on depot-records and counter-net: all caches lost. Views go straight to a parent, by way of the origin, and
@@ -357,7 +358,7 @@
 	//   4.00s view 3: leg to A, fill from P
 	//   6.00s view 4: leg to A, fill from Q
 	//   8.00s view 5: leg to A, fill from origin
-	//  10.00s view 6: leg to A, fill from P
+	//  10.00s view 6: leg to A, fill from P, holds-only
 }
 
 // On no list: load reports frozen at a full link, sizes untold. The link may not be shut for good: one fill always goes.
--- a/rules/state.go
+++ b/rules/state.go
@@ -162,6 +162,7 @@
 	cut, good time.Duration // when it was narrowed, when an answer came in good time
 	heard     time.Duration // when it last learned of the wait
 	next      time.Duration // no trial before, while it is shut
+	part      float64       // of a whole gate
 	shut      bool          // as last logged
 }
 
@@ -179,7 +180,7 @@
 // how many fit at full pace, those of others included, 0 for no evidence.
 type pipe struct {
 	busy, usual, room float64
-	at                time.Duration // when busy changed
+	at, told          time.Duration // when busy changed, when its room was learned
 }
 
 func (p *pipe) usualBy(now time.Duration) float64 {
@@ -482,4 +483,5 @@
 		r.past = append(r.past, pastRing{r.caches, r.now})
 	}
 	r.caches, r.parents = r.newRing(caches), r.newRing(parents)
+	r.gate.part = r.gatePart()
 }
