A broken connection counts as an error; with no cache in health and no way past them, health is not asked

Two resets in a row took a cache out, three good trials seconds apart brought it back, marked as restarted and so cold: 46% of views were turned back, most with no cache left. Change: only a refused connection counts as lost; a node that answers from a kept copy on trial is not taken for restarted; where no cache is in health and views may not pass the caches by, health is not asked. Told from a crash by the outcome: a dead process refuses connections, a flaky one breaks them.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -144,10 +144,8 @@
 
 // overAllowance: the tenant has had its share of views lately; such a view must not crowd out others.
 func (r *Router) overAllowance(tenant int) bool {
-	if tenant >= len(r.tenants) || r.set.Tenants[tenant].Allowance <= 0 {
-		return false
-	}
-	return !r.tenants[tenant].take(r.set.Tenants[tenant].Allowance/float64(max(1, r.set.Routers)), r.now)
+	return tenant < len(r.tenants) && r.set.Tenants[tenant].Allowance > 0 &&
+		!r.tenants[tenant].take(r.set.Tenants[tenant].Allowance/float64(max(1, r.set.Routers)), r.now)
 }
 
 // start sends a view by the ordinary path: the ring's cache, the former owner if the slot moved, the parent.
@@ -204,9 +202,9 @@
 }
 
 // gateCaches is how many caches a router with a whole gate has behind it: one of many routers that share few
-// caches gets less, and less than a place is a part of the time. trialEach is the distance of trials of a whole
-// gate while it is shut: failures may come at once, so that places alone would let a herd through, and parents
-// and caches try on their own.
+// caches gets less, and less than a place is a part of the time. trialEach is the distance of trials of a
+// whole gate while it is shut: failures may come at once, so that places alone would let a herd through, and
+// parents and caches try on their own.
 const gateCaches, trialEach = 4, 600 * ms
 
 // gatePart is this router's part of a whole gate.
@@ -400,8 +398,7 @@
 // follow takes a step for an open view.
 func (r *Router) follow(v *view, end ending) {
 	s := steps[v.stage][end]
-	// A further leg after a failure, unlike one after a miss, is bounded: else it multiplies a trouble's
-	// load.
+	// A further leg after a failure, unlike one after a miss, is bounded: else it multiplies a trouble's load.
 	if s.effect != turnBack && end != endLacks && !r.set.Tariffs[v.tariff].Write {
 		if r.retries--; r.retries < 0 || r.now >= v.due {
 			r.retries, s.effect = max(0, r.retries), turnBack
@@ -427,7 +424,7 @@
 // learn keeps what a good answer tells of the nodes and links on its way.
 func (r *Router) learn(v *view, l *leg, e *Event) {
 	n, t, row := &r.nodes[l.node], &r.set.Tariffs[v.tariff], &r.rows[v.tariff]
-	r.good(l.node, l.sent)
+	r.good(l.node, l.sent, e.Note == NoteHit)
 	if t.Write {
 		row.usual.add(e.Took, 0.1)
 		return
@@ -464,7 +461,7 @@
 	if s.role == roleParent && body > dragging*l.expect+overdue && (v.known || r.drags(l.source)) {
 		r.bad(l.source, badSoft)
 	} else {
-		r.good(l.source, l.sent)
+		r.good(l.source, l.sent, e.Note == NoteFilled)
 	}
 	s.carries.add(v.sending.Seconds(), r.now, r.carriesOver(l.source))
 	own := 1.5 * r.stretch(&n.pipe, r.warm(l.node))
@@ -518,7 +515,7 @@
 	switch end {
 	case endCache:
 		by := badHard
-		if e.Outcome == Errored {
+		if e.Outcome == Errored || e.Outcome == Broken {
 			by = badSoft
 		}
 		r.bad(l.node, by)
@@ -653,27 +650,33 @@
 
 // pick walks the ring from the view's point to the first cache that may have it: listed, in health, warm
 // enough for this object, not asked yet, and predicted in time. If none is in time, it is the first: it may
-// hold the object.
+// hold the object. Where none is in health and views may not pass the caches by, health is not asked: what
+// fails everywhere is shared, and a part of the views still comes through.
 func (r *Router) pick(v *view) int32 {
 	p, failing := r.parent(v)
 	if failing {
 		p = r.origin
 	}
-	first, left := none, spill+1
-	found := r.walk(&r.caches, v.hash, func(c int32) bool {
-		if !r.admits(c, v.hash) || !r.affordable(v, c) || r.asked(v, c) || !r.healthy(c) {
-			return false
+	for _, heed := range [2]bool{true, false} {
+		first, left := none, spill+1
+		found := r.walk(&r.caches, v.hash, func(c int32) bool {
+			if !r.admits(c, v.hash) || !r.affordable(v, c) || r.asked(v, c) || heed && !r.healthy(c) {
+				return false
+			}
+			if first == none {
+				first = c
+			}
+			left--
+			return left < 0 || r.inTime(v, c, p)
+		})
+		if found != none && left >= 0 {
+			return found
 		}
-		if first == none {
-			first = c
+		if first != none || r.set.Direct {
+			return first
 		}
-		left--
-		return left < 0 || r.inTime(v, c, p)
-	})
-	if found == none || left < 0 {
-		return first
 	}
-	return found
+	return none
 }
 
 // admits says whether a node takes the object: all objects once it is warm, while cold the share that it can
@@ -801,7 +804,8 @@
 // trusted is how long a room under one transfer is believed without news: then one goes on trial.
 const trusted = 2 * time.Second
 
-// stretch is how many times longer than alone one more transfer takes, on a link that gives a part of its room.
+// stretch is how many times longer than alone one more transfer takes, on a link that gives a part of its
+// room.
 func (r *Router) stretch(p *pipe, part float64) float64 {
 	if p.room <= 0 {
 		return 1
@@ -894,12 +898,7 @@
 // gateStart fits a usual load from the start on, but no herd of routers that know nothing yet; gateMost is
 // wide: the gate matters when the origin's answers say so. gateLeast keeps trials going. Answers within
 // gateEach were under way together and tell one thing.
-const (
-	gateStart = 8
-	gateMost  = 24
-	gateLeast = 1
-	gateEach  = 100 * ms
-)
+const gateStart, gateMost, gateLeast, gateEach = 8, 24, 1, 100 * ms
 
 func (g *gate) learn(wait time.Duration, late bool, now time.Duration) {
 	// A running median: waits are skewed, and a few long ones don't make the next one late. Where answers are
@@ -962,8 +961,9 @@
 	}
 }
 
-// good takes an answer to a leg sent at that time. One sent before a silence shows that nothing was lost.
-func (r *Router) good(n int32, sent time.Duration) {
+// good takes an answer to a leg sent at that time. One sent before a silence, or one from a kept copy, shows
+// that nothing was lost.
+func (r *Router) good(n int32, sent time.Duration, kept bool) {
 	d := &r.nodes[n]
 	d.heard = r.now
 	h := &d.health
@@ -971,7 +971,7 @@
 	if !h.out {
 		return
 	}
-	h.silent = h.silent && sent >= h.since
+	h.silent = h.silent && sent >= h.since && !kept
 	if h.goods++; h.goods >= wellAfter {
 		// Gone without a word and back: taken for restarted, so cold and empty. A list may say so too late.
 		if h.silent {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -292,6 +292,31 @@
 	//   0.62s view 4: leg to B, fill from P
 }
 
+// Found on branch-library grown: all caches break some connections, none is lost. They go out one by one, and then health
+// is not asked; one that answers from a kept copy is not taken for restarted.
+func Example_brokenEverywhere() {
+	set := plain()
+	set.Direct = false
+	b := newBench(set, cacheA, cacheB)
+	b.mute = true
+	o := b.first(cacheA, parentP)
+	for id := ViewID(1); id <= 4; id++ {
+		b.view(id, 0, o)
+		b.end(id, cacheA, 10*ms, Broken, NoteNone)
+		b.end(id, cacheB, 10*ms, Broken, NoteNone)
+	}
+	b.mute = false
+	for id := ViewID(5); id <= 8; id++ {
+		b.view(id, 0, o)
+		b.end(id, cacheA, 300*ms, Succeeded, NoteHit)
+	}
+	// Output:
+	//   0.08s view 5: leg to A, fill from P
+	//   0.38s view 6: leg to A, fill from P
+	//   0.68s view 7: leg to A, fill from P
+	//   0.98s view 8: leg to A, fill from P
+}
+
 // Found on branch-library: a slow origin. Late fills close the gate; then the parent is asked holds-only, and a view
 // that would have to wait for the origin is turned back.
 func Example_slowOrigin() {
