A told link keeps its room; its load is the middle of reports and of own usual load

Change: a told room is not learned from reports; where such reports are fresh, what others have on the link is the middle of the report and of what this router usually has times their number. Covers frozen and late reports: after 2 s only own load counts. May hurt where reports are wrong but fresh.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -207,11 +207,6 @@
 // parents and caches try on their own.
 const gateCaches, trialEach = 4, 600 * ms
 
-// gatePart is this router's part of a whole gate.
-func (r *Router) gatePart() float64 {
-	return min(1, r.share*float64(max(1, len(r.caches.members)))/gateCaches)
-}
-
 // hasPlace says whether the gate has a place of so many.
 func (r *Router) hasPlace(places float64) bool {
 	if r.gate.window <= gateLeast {
@@ -626,15 +621,22 @@
 	}
 }
 
-// report reads a load report.
+// reported is how long a report of the location's link tells of it: some times as long as they are apart.
+const reported = 2 * time.Second
+
+// report reads a load report. A link whose size the settings tell is as wide as they say.
 func (r *Router) report(n int32, rep *Report) {
-	total := r.total(&r.inlet)
+	total, z := r.total(&r.inlet), int(r.set.Zone)
+	told := z < len(r.set.ZoneInlet) && r.set.ZoneInlet[z] > 0
 	for i := range min(rep.N, len(r.set.Columns)) {
 		x := rep.V[i]
 		switch {
 		case r.set.Columns[i] == SignalBusy:
 			r.nodes[n].load = x
-		case r.set.Columns[i] == SignalPipe && r.nodes[n].role == roleCache && x > 0.2 && total > 0.5:
+		case r.set.Columns[i] != SignalPipe || r.nodes[n].role != roleCache:
+		case told:
+			r.inlet.full, r.inlet.heard = r.inlet.full+(x-r.inlet.full)/4, r.now
+		case x > 0.2 && total > 0.5:
 			if room := r.inlet.room; room <= 0 {
 				r.inlet.room = max(1, total/x)
 			} else {
--- a/rules/state.go
+++ b/rules/state.go
@@ -180,6 +180,8 @@
 // how many fit at full pace, those of others included, 0 for no evidence.
 type pipe struct {
 	busy, usual, room float64
+	full              float64       // as reported lately
+	heard             time.Duration // when
 	at, told          time.Duration // when busy changed, when its room was learned
 }
 
@@ -335,9 +337,18 @@
 }
 
 // total is how many transfers run on a link of the location by now: this router's, and for each of the others
-// that share it what this one usually has there.
+// that share it what this one usually has there, or the middle of that and of what reports tell.
 func (r *Router) total(p *pipe) float64 {
-	return p.busy + p.usualBy(r.now)*(1/r.share-1)
+	others := p.usualBy(r.now) * (1/r.share - 1)
+	if p.full > 0 && r.now-p.heard < reported && r.share < 1 {
+		others = (others + max(0, p.full*p.room-p.usualBy(r.now))) / 2
+	}
+	return p.busy + others
+}
+
+// gatePart is this router's part of a whole gate.
+func (r *Router) gatePart() float64 {
+	return min(1, r.share*float64(max(1, len(r.caches.members)))/gateCaches)
 }
 
 // take takes one view of an allowance a second, if there is one left.
