--- a/rules/rules.go
+++ b/rules/rules.go
@@ -112,6 +112,7 @@
 	t, usual := &r.set.Tariffs[e.Tariff], &r.rows[e.Tariff].usual
 	i := r.take()
 	v := &r.views[i]
+	r.arrived++
 	*v = view{id: e.View, tariff: e.Tariff, object: e.Object, group: e.Group, open: true, end: r.now + e.Left,
 		cache: none, sending: usual.get(), hash: mix(uint64(e.Object) ^ uint64(e.Part)*0x9e3779b97f4a7c15)}
 	r.byID[e.View] = i
@@ -605,17 +606,17 @@
 	}
 }
 
-// probeEach is how often one cache is asked for its load, in turn, where reports come only so: a few in a
-// hundred of the views at most.
-const probeEach = 500 * ms
+// probeEach is how often one cache is asked for its load, in turn, where reports come only so, and probeViews
+// after how many views: a few in a hundred of them at most, also where each router has few.
+const probeEach, probeViews = 500 * ms, 20
 
 // probe asks for the state of the location's link, where no answer tells.
 func (r *Router) probe() {
-	if r.now < r.probeAt || len(r.caches.members) == 0 || !r.set.Probes || r.set.Reports != ViaProbe ||
+	if r.now < r.probeAt || r.arrived < probeViews || len(r.caches.members) == 0 || !r.set.Probes || r.set.Reports != ViaProbe ||
 		!slices.Contains(r.set.Columns, SignalPipe) {
 		return
 	}
-	r.probeAt = r.now + probeEach
+	r.probeAt, r.arrived = r.now+probeEach, 0
 	if n := r.caches.members[int(r.now/probeEach)%len(r.caches.members)]; r.healthy(n) {
 		r.act(Action{Kind: ActionProbe, Node: r.nodes[n].id})
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -109,6 +109,7 @@
 	purges  []purge
 	share   float64 // this router's part of its location's views
 	probeAt time.Duration
+	arrived int // views, since a probe
 }
 
 // memo is what is recalled of an object.
