Where no other cache is left, cold ones take what their budget bears

Change: a second walk of the ring asks only the budget of cold caches, not their share. Covers mass restarts and lost locations.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -612,8 +612,8 @@
 
 // probe asks for the state of the location's link, where no answer tells.
 func (r *Router) probe() {
-	if r.now < r.probeAt || r.arrived < probeViews || len(r.caches.members) == 0 || !r.set.Probes || r.set.Reports != ViaProbe ||
-		!slices.Contains(r.set.Columns, SignalPipe) {
+	if r.now < r.probeAt || r.arrived < probeViews || len(r.caches.members) == 0 || !r.set.Probes ||
+		r.set.Reports != ViaProbe || !slices.Contains(r.set.Columns, SignalPipe) {
 		return
 	}
 	r.probeAt, r.arrived = r.now+probeEach, 0
@@ -653,17 +653,17 @@
 
 // pick walks the ring from the view's point to the first cache that may have it: listed, in health, warm
 // enough for this object, not asked yet, and predicted in time. If none is in time, it is the first: it may
-// hold the object. Where none is in health and views may not pass the caches by, health is not asked: what
-// fails everywhere is shared, and a part of the views still comes through.
+// hold the object. Where none may have it, its share is not asked of cold caches, only their budget; then,
+// where views may not pass the caches by, nor is health: what fails everywhere is shared.
 func (r *Router) pick(v *view) int32 {
 	p, failing := r.parent(v)
 	if failing {
 		p = r.origin
 	}
-	for _, heed := range [2]bool{true, false} {
+	for pass := range 3 {
 		first, left := none, spill+1
 		found := r.walk(&r.caches, v.hash, func(c int32) bool {
-			if !r.admits(c, v.hash) || !r.affordable(v, c) || r.asked(v, c) || heed && !r.healthy(c) {
+			if pass == 0 && !r.admits(c, v.hash) || pass < 2 && !r.healthy(c) || !r.affordable(v, c) || r.asked(v, c) {
 				return false
 			}
 			if first == none {
@@ -675,7 +675,7 @@
 		if found != none && left >= 0 {
 			return found
 		}
-		if first != none || r.set.Direct {
+		if first != none || pass == 1 && r.set.Direct {
 			return first
 		}
 	}
@@ -867,9 +867,9 @@
 	return wait + send, float64(send+ms) / float64(wait+send+ms), filled
 }
 
-// margin is what the rest of a prediction may be off. growth is how much more a shared link is stretched, over
-// its stretch on arrival, by the views that come while this one is sent: a full link stays full. Both were
-// tried: less growth lets views in that end late, more turns back on calm days.
+// margin is what the rest of a prediction may be off. growth is how much more a shared link is stretched,
+// over its stretch on arrival, by the views that come while this one is sent: a full link stays full. Both
+// were tried: less growth lets views in that end late, more turns back on calm days.
 const margin, growth = 1.2, 1.6
 
 // inTime is the admission test. A tenant's views over its allowance must leave room for others'.
