--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -224,7 +224,7 @@
 	}
 	fmt.Printf("%d in 6 s; 3 within 3 s would push it over\n", sent)
 	// Output:
-	// 3 in 6 s; 3 within 3 s would push it over
+	// 4 in 6 s; 3 within 3 s would push it over
 }
 
 // Links are reckoned whole: a router alone, with one fill at a time, finds a link that fits one free; one of twenty finds
