A told link is the measure of a cold node's budget

Change: where the list tells links, the budget is counted by them; the seen measure stays for the rest.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -7,8 +7,7 @@
 //
 // Reading order: the table of steps; arrive, start and fill (the ordinary path); send (the one gate through
 // which every leg passes, with the guards of the five rules); legEnd and what it learns or blames; lookOver
-// (overdue legs); pick, parent and former (which cache, which source); predictions, the origin's gate,
-// health.
+// (overdue legs); pick, parent and former (which cache, which source); predictions, the gate, health.
 
 import (
 	"slices"
@@ -702,9 +701,8 @@
 }
 
 // coldSafety is the part of a cold node's budget that all routers together allow themselves: chance must fit
-// too. guessCarries stands for what a warm one carries before any was seen to: one transfer. carriesFor is
-// the span over which this is measured by a router alone; one of many sees less and takes longer, to
-// carriesMost.
+// too. guessCarries stands for what a warm one carries before any was seen to. carriesFor is the span over
+// which this is measured by a router alone; one of many sees less and takes longer, to carriesMost.
 const (
 	coldSafety, guessCarries = 0.6, 1
 	carriesFor, carriesMost  = time.Second, 15 * time.Second
@@ -725,11 +723,10 @@
 }
 
 // charge puts the next view to a cold node as far off as this router's part of its budget asks: the stated
-// multiple of what others like it were seen to carry for this router at their best, or it before it
-// restarted, times its warmth; those that carried far less tell of little use, not of a small link. What one
-// window allows may go at once; a router whose part is less than one view a window waits its turn, from a
-// start by chance, so that many routers together keep the budget. Guards rule 4 when the load is far from
-// usual: a lost location, retries, a dead neighbour.
+// multiple of its link, as told or as others like it were seen to carry for this router at their best (those
+// that carried far less tell of little use), times its warmth. What one window allows may go at once; a
+// router whose part is less waits its turn, from a start by chance, so that many together keep the budget.
+// Guards rule 4 when the load is far from usual: a lost location, retries, a dead neighbour.
 func (r *Router) charge(v *view, n int32, times float64) {
 	weight, warm := r.rows[v.tariff].usual.get(), r.warm(n)
 	if warm >= 1 {
@@ -751,6 +748,9 @@
 		multiple = r.set.ParentFallMultiple
 	}
 	carries := max(guessCarries*r.part(n), sum/max(1, count))
+	if r.set.WeightIsLink {
+		carries = d.weight * r.part(n)
+	}
 	gap := time.Duration(float64(weight) / (coldSafety * multiple * warm * carries))
 	d.next = max(d.next, r.now-max(0, r.set.FallFor-gap)) + time.Duration(times*float64(gap))
 }
