Fold repeats found on a read of the whole change; a cold node's budget survives missing figures

- the told inlet was worked out in two places: Settings.inlet serves both; a link without a pace of transfers counts as untold;
- the gate carried a whole link's fields for a count and its mean: load is that part, and pipe holds one;
- the total of the link was worked out for each report, also without that column: only where it is used;
- the seen measure of cold nodes was summed and then overwritten where links are told: only one of the two is worked out.
One defect: with no cold share, multiple or weight the gap to the next view overflowed and a cold cache got everything (50 of 50 in the new trace, now 1).

--- a/rules/router.go
+++ b/rules/router.go
@@ -13,9 +13,7 @@
 	if z < len(set.ZoneRouters) && set.ZoneRouters[z] > 1 {
 		r.share = 1 / float64(set.ZoneRouters[z])
 	}
-	if z < len(set.ZoneInlet) && set.FlowKB > 0 {
-		r.inlet.room = set.ZoneInlet[z] / set.FlowKB
-	}
+	r.inlet.room = set.inlet()
 	if r.set.Legs <= 0 || r.set.Legs > maxLegs {
 		r.set.Legs = maxLegs
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -626,22 +626,20 @@
 
 // report reads a load report. A link whose size the settings tell is as wide as they say.
 func (r *Router) report(n int32, rep *Report) {
-	total, z := r.total(&r.inlet), int(r.set.Zone)
-	told := z < len(r.set.ZoneInlet) && r.set.ZoneInlet[z] > 0
 	for i := range min(rep.N, len(r.set.Columns)) {
 		x := rep.V[i]
 		switch {
 		case r.set.Columns[i] == SignalBusy:
 			r.nodes[n].load = x
 		case r.set.Columns[i] != SignalPipe || r.nodes[n].role != roleCache:
-		case told:
+		case r.set.inlet() > 0:
 			r.inlet.full, r.inlet.heard = r.inlet.full+(x-r.inlet.full)/4, r.now
-		case x > 0.2 && total > 0.5:
-			if room := r.inlet.room; room <= 0 {
-				r.inlet.room = max(1, total/x)
-			} else {
-				r.inlet.room += (max(1, total/x) - room) / 10
+		case x > 0.2 && r.total(&r.inlet) > 0.5:
+			seen := max(1, r.total(&r.inlet)/x)
+			if r.inlet.room <= 0 {
+				r.inlet.room = seen
 			}
+			r.inlet.room += (seen - r.inlet.room) / 10
 		}
 	}
 }
@@ -736,11 +734,15 @@
 		weight = r.set.Tariffs[v.tariff].Due // until sizes are known: longer than any usual view
 	}
 	d, sum, count := &r.nodes[n], 0.0, 0.0
-	for i := range r.nodes {
-		o := &r.nodes[i]
-		if most := o.carries.most; o.role == d.role && most > 0 && most > sum/max(1, count)/2 {
-			sum += most
-			count++
+	if r.set.WeightIsLink {
+		sum = d.weight * r.part(n)
+	} else {
+		for i := range r.nodes {
+			o := &r.nodes[i]
+			if most := o.carries.most; o.role == d.role && most > 0 && most > sum/max(1, count)/2 {
+				sum += most
+				count++
+			}
 		}
 	}
 	multiple := r.set.FallMultiple
@@ -748,10 +750,8 @@
 		multiple = r.set.ParentFallMultiple
 	}
 	carries := max(guessCarries*r.part(n), sum/max(1, count))
-	if r.set.WeightIsLink {
-		carries = d.weight * r.part(n)
-	}
-	gap := time.Duration(float64(weight) / (coldSafety * multiple * warm * carries))
+	rate := max(1e-6, coldSafety*multiple*warm*carries) // a setting that is missing leaves it next to nothing
+	gap := time.Duration(float64(weight) / rate)
 	d.next = max(d.next, r.now-max(0, r.set.FallFor-gap)) + time.Duration(times*float64(gap))
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -227,6 +227,25 @@
 	// 4 in 6 s; 3 within 3 s would push it over
 }
 
+// Settings without the figures of cold nodes: nothing is known to be borne, so a cold cache gets no herd.
+func Example_coldFiguresMissing() {
+	set := plain()
+	set.ColdShare, set.FallMultiple = 0, 0
+	b := newBench(set, cacheA)
+	b.mute = true
+	b.change(cacheA, Ready, b.now)
+	sent := 0
+	for id := ViewID(1); id <= 50; id++ {
+		b.view(id, 0, ObjectID(id))
+		if b.acts[0].Node == cacheA {
+			sent++
+		}
+	}
+	fmt.Printf("%d of 50 went to A\n", sent)
+	// Output:
+	// 1 of 50 went to A
+}
+
 // Links are reckoned whole: a router alone, with one fill at a time, finds a link that fits one free; one of twenty finds
 // it full once its own fills tell what the others have there, and asks the caches only.
 func Example_sharedLink() {
--- a/rules/state.go
+++ b/rules/state.go
@@ -157,7 +157,7 @@
 // gate counts the fills that wait for the origin.
 type gate struct {
 	window    float64
-	out       pipe          // busy: the fills that wait
+	out       load          // the fills that wait
 	wait      time.Duration // usual time to the first byte by way of the origin
 	via       float64       // share of the parents' fills that went to the origin
 	cut, good time.Duration // when it was narrowed, when an answer came in good time
@@ -177,22 +177,37 @@
 // row is what the module keeps by tariff: the usual sending time at full pace, or the time of a write.
 type row struct{ usual mean }
 
-// pipe is a link as this router's own transfers show it: busy counts them, usual is their fading mean, room is
-// how many fit at full pace, those of others included, 0 for no evidence.
-type pipe struct {
-	busy, usual, room float64
-	full              float64       // as reported lately
-	heard             time.Duration // when
-	at, told          time.Duration // when busy changed, when its room was learned
+// load is what this router has out: busy now, usual its fading mean, at when busy changed.
+type load struct {
+	busy, usual float64
+	at          time.Duration
+}
+
+func (b *load) usualBy(now time.Duration) float64 {
+	return b.busy + (b.usual-b.busy)*math.Exp(-float64(now-b.at)/float64(usualOver))
 }
 
-func (p *pipe) usualBy(now time.Duration) float64 {
-	return p.busy + (p.usual-p.busy)*math.Exp(-float64(now-p.at)/float64(usualOver))
+func (b *load) add(duty float64, now time.Duration) {
+	b.usual, b.at = b.usualBy(now), now
+	b.busy += duty
 }
 
-func (p *pipe) add(duty float64, now time.Duration) {
-	p.usual, p.at = p.usualBy(now), now
-	p.busy += duty
+// pipe is a link as this router's own transfers show it: room is how many fit at full pace, those of others
+// included, 0 for no evidence.
+type pipe struct {
+	load
+	room  float64
+	full  float64       // as reported lately
+	heard time.Duration // when
+	told  time.Duration // when its room was learned
+}
+
+// inlet is the link into the router's location in transfers, 0 where it is not told.
+func (s *Settings) inlet() float64 {
+	if z := int(s.Zone); z < len(s.ZoneInlet) && s.FlowKB > 0 {
+		return s.ZoneInlet[z] / s.FlowKB
+	}
+	return 0
 }
 
 func (r *Router) act(a Action) { r.acts = append(r.acts, a) }
