--- /dev/null
+++ b/cmd/fennelarch/log.go
@@ -0,0 +1,60 @@
+package main
+
+// This file owns the log's way out: lines go by a bounded queue to standard error, and one that finds it full is
+// dropped and counted, so that nobody ever waits on the log.
+
+import (
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// flushFor bounds the wait for the last lines at the end.
+const flushFor = 100 * time.Millisecond
+
+type lines struct {
+	queue chan []byte
+	lost  atomic.Int64
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	select {
+	case l.queue <- append([]byte(nil), p...):
+	default:
+		l.lost.Add(1)
+	}
+	return len(p), nil
+}
+
+func (l *lines) Sync() error { return nil }
+
+func (l *lines) run() {
+	for p := range l.queue {
+		_, _ = os.Stderr.Write(p)
+		if n := l.lost.Swap(0); n > 0 {
+			fmt.Fprintf(os.Stderr, "%d lines of the log were lost\n", n)
+		}
+	}
+}
+
+// flush waits a little until the lines so far are out.
+func (l *lines) flush() {
+	for end := time.Now().Add(flushFor); len(l.queue) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// newLog returns a log that keeps at most so many lines waiting, and what writes the last of them.
+func newLog(queue int) (*zap.Logger, func()) {
+	l := &lines{queue: make(chan []byte, queue)}
+	go l.run()
+	conf := zap.NewProductionEncoderConfig()
+	conf.EncodeTime = zapcore.ISO8601TimeEncoder
+	conf.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zapcore.NewConsoleEncoder(conf), l, zapcore.InfoLevel)
+	return zap.New(core), l.flush
+}
--- /dev/null
+++ b/cmd/fennelarch/main.go
@@ -0,0 +1,63 @@
+// Command fennelarch is the router as a service. This file owns the command line; what a router is made of is put
+// together in serve.go.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+
+	"fennelarch/internal/settings"
+)
+
+type serveCmd struct{}
+
+type checkCmd struct{}
+
+type versionCmd struct{}
+
+func (serveCmd) Run() error {
+	c, err := settings.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	return serve(c)
+}
+
+func (checkCmd) Run() error {
+	c, err := settings.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s on %s: %d tariffs, %g cores, %d MB, %d sockets\n", c.Name, c.Listen, len(c.Rules.Tariffs), c.Cores, c.MemoryMB,
+		c.Sockets)
+	return nil
+}
+
+func (versionCmd) Run() error {
+	info, _ := debug.ReadBuildInfo()
+	version := "unknown"
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			version = s.Value
+		}
+	}
+	fmt.Println("fennelarch", version, info.GoVersion)
+	return nil
+}
+
+func main() {
+	var cli struct {
+		Serve   serveCmd   `cmd:"" help:"Run one router, as the environment tells: RELAY_NAME, RELAY_LISTEN, RELAY_CONFIG."`
+		Check   checkCmd   `cmd:"" help:"Read the configuration, say what it holds, and end."`
+		Version versionCmd `cmd:"" help:"Print the version."`
+	}
+	ctx := kong.Parse(&cli, kong.Name("fennelarch"),
+		kong.Description("A router that decides where objects are served, kept and filled from."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "fennelarch:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,454 @@
+// Package engine drives the decisions. This file owns the router, its clock, timers, views and legs: one goroutine
+// runs Run, all else sends it events, and it does what the router says. It must never block, decide anything or know
+// a protocol: clients and caches stand behind two small interfaces.
+package engine
+
+import (
+	"container/heap"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fennelarch/rules"
+)
+
+// Ask is a view as a client brings it.
+type Ask struct {
+	View   rules.ViewID
+	Client Client
+	Tag    uint64 // the client's name for it
+
+	Ident  uint64 // goes on unchanged, as do object, part and body
+	Tariff rules.TariffID
+	Object rules.ObjectID
+	Group  rules.GroupID
+	Part   int
+	KB     float64
+	Repeat bool
+	Write  bool
+	Have   string // the tag of a copy that the client holds
+	Body   []byte
+	Left   time.Duration // from At until the client gives up
+	At     time.Time
+}
+
+// Client takes the one final answer of a view. It must not block.
+type Client interface {
+	Answer(tag uint64, a Answer)
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+const (
+	Succeeded Verdict = iota
+	TurnedBack
+	Terminated
+)
+
+// Answer is a final answer.
+type Answer struct {
+	Verdict   Verdict
+	Unchanged bool // the client's copy is the one
+	Wait      time.Duration
+	Body      []byte
+}
+
+// Leg is one leg of a view on its way.
+type Leg struct {
+	Ask    *Ask
+	No     rules.LegNo
+	Node   rules.NodeID
+	Source rules.NodeID // none: no fill
+	Wait   time.Duration
+	Age    time.Duration
+	Keep   uint8
+	How    rules.How
+
+	sent time.Duration
+	done bool
+}
+
+// LegEnd is how a leg ended at its node.
+type LegEnd struct {
+	Leg     *Leg
+	Outcome rules.Outcome
+	Note    rules.Note
+	Waited  time.Duration
+	Report  rules.Report
+	Same    bool // the client's copy is the one
+	Body    []byte
+}
+
+// Caches carries legs to nodes. None of its calls may block.
+type Caches interface {
+	Learn(nodes []Node, all bool)
+	Send(l *Leg)
+	Abort(l *Leg) (written bool) // no end follows
+	Probe(n rules.NodeID)
+}
+
+// Node is one line of the list.
+type Node struct {
+	rules.Member
+	UID     string
+	Address string
+	Boot    time.Time // zero: long ago
+}
+
+// Probed is the answer to a probe.
+type Probed struct {
+	Node    rules.NodeID
+	Outcome rules.Outcome
+	Took    time.Duration
+	Report  rules.Report
+}
+
+// List is a list of nodes, or changes of it.
+type List struct {
+	Nodes []Node
+	All   bool
+}
+
+// Purge tells that an object, or a group where it is 0, was purged.
+type Purge struct {
+	Object rules.ObjectID
+	Group  rules.GroupID
+	Issued time.Time
+}
+
+// Gone says that a client no longer waits for a view.
+type Gone struct{ View rules.ViewID }
+
+// Event is anything that the engine is told, with the time at which it came about.
+type Event struct {
+	At   time.Time
+	What any // *Ask, LegEnd, Probed, List, Purge, Gone
+}
+
+// Counts is what happened so far.
+type Counts struct {
+	Views, Succeeded, TurnedBack, Terminated, Gone, Legs uint64
+}
+
+type view struct {
+	ask  *Ask
+	end  time.Duration
+	open bool
+	legs []*Leg
+	outs int
+}
+
+// Engine is driven by Run, or by hand through Handle and Tick.
+type Engine struct {
+	in      chan Event
+	router  *rules.Router
+	set     rules.Settings
+	caches  Caches
+	log     *zap.Logger
+	start   time.Time
+	now     time.Duration
+	views   map[rules.ViewID]*view
+	timers  timers
+	acts    []rules.Action
+	queue   []rules.Event
+	members []rules.Member
+	counts  Counts
+	lag     time.Duration // longest wait of an event since the last summary
+	open    atomic.Int64
+}
+
+// New returns an engine whose clock starts at start.
+func New(set rules.Settings, seed uint64, queue int, start time.Time, caches Caches, log *zap.Logger) *Engine {
+	return &Engine{in: make(chan Event, queue), router: rules.New(set, seed), set: set, caches: caches, log: log, start: start,
+		views: map[rules.ViewID]*view{}}
+}
+
+// Post tells the engine of an event; it waits while the engine has too many before it.
+func (e *Engine) Post(at time.Time, what any) { e.in <- Event{at, what} }
+
+// Open is how many views have no final answer yet, those in the queue included as far as they were posted.
+func (e *Engine) Open() int { return int(e.open.Load()) + len(e.in) }
+
+// Run drives the engine by the system's clock until done is closed.
+func (e *Engine) Run(done <-chan struct{}, summary time.Duration) {
+	timer := time.NewTimer(0)
+	told := e.now
+	for {
+		select {
+		case ev := <-e.in:
+			e.Handle(time.Since(e.start), ev)
+		case <-timer.C:
+		case <-done:
+			return
+		}
+		now := time.Since(e.start)
+		e.Tick(now)
+		if now-told >= summary {
+			told = now
+			e.summary()
+		}
+		if len(e.timers) > 0 {
+			timer.Reset(e.timers[0].at - now)
+		}
+	}
+}
+
+func (e *Engine) summary() {
+	c := e.counts
+	e.log.Info("summary", zap.Uint64("views", c.Views), zap.Uint64("succeeded", c.Succeeded),
+		zap.Uint64("turned_back", c.TurnedBack), zap.Uint64("terminated", c.Terminated), zap.Uint64("gone", c.Gone),
+		zap.Uint64("legs", c.Legs), zap.Int64("open", e.open.Load()), zap.Duration("lag", e.lag))
+	e.lag = 0
+}
+
+// Start begins the router's life; it comes before anything else.
+func (e *Engine) Start(now time.Duration) {
+	e.now = now
+	e.acts = e.router.Start(now, e.acts[:0])
+	e.obey()
+}
+
+// Handle takes one event.
+func (e *Engine) Handle(now time.Duration, ev Event) {
+	e.now = max(now, e.now)
+	if !ev.At.IsZero() {
+		e.lag = max(e.lag, e.now-ev.At.Sub(e.start))
+	}
+	switch what := ev.What.(type) {
+	case *Ask:
+		e.ask(what)
+	case LegEnd:
+		e.legEnd(what, ev.At.Sub(e.start))
+	case Probed:
+		e.tell(&rules.Event{Kind: rules.EventProbed, Node: what.Node, Outcome: what.Outcome, Took: what.Took, Report: what.Report})
+	case List:
+		e.list(what)
+	case Purge:
+		e.tell(&rules.Event{Kind: rules.EventPurge, Object: what.Object, Group: what.Group,
+			Ago: max(0, e.now-what.Issued.Sub(e.start))})
+	case Gone:
+		if v := e.views[what.View]; v != nil && v.open {
+			e.counts.Gone++
+			e.gone(v)
+		}
+	}
+}
+
+// Tick does what has fallen due by now.
+func (e *Engine) Tick(now time.Duration) {
+	e.now = max(now, e.now)
+	for len(e.timers) > 0 && e.timers[0].at <= e.now {
+		t := heap.Pop(&e.timers).(timer)
+		switch {
+		case t.view == 0:
+			e.tell(&rules.Event{Kind: rules.EventTimer, Timer: t.name})
+		case t.leg != nil:
+			e.giveUp(t.leg, rules.TimedOut)
+			e.settle()
+		default:
+			e.expire(t.view)
+		}
+	}
+}
+
+func (e *Engine) ask(a *Ask) {
+	v := &view{ask: a, end: a.At.Sub(e.start) + a.Left, open: true}
+	e.views[a.View] = v
+	e.open.Add(1)
+	e.counts.Views++
+	heap.Push(&e.timers, timer{at: v.end, view: a.View})
+	e.tell(&rules.Event{Kind: rules.EventView, View: a.View, Tariff: a.Tariff, Object: a.Object, Group: a.Group, Part: a.Part,
+		KB: a.KB, Left: v.end - e.now, Repeat: a.Repeat, Write: a.Write})
+}
+
+func (e *Engine) list(l List) {
+	e.caches.Learn(l.Nodes, l.All)
+	e.members = e.members[:0]
+	for _, n := range l.Nodes {
+		m := n.Member
+		m.Started = rules.LongAgo
+		if !n.Boot.IsZero() {
+			m.Started = n.Boot.Sub(e.start)
+		}
+		e.members = append(e.members, m)
+	}
+	ev := rules.Event{Kind: rules.EventList, List: rules.ListChanges, Members: e.members}
+	if l.All {
+		ev.List = rules.ListFull
+	}
+	e.tell(&ev)
+}
+
+// legEnd takes the end of a leg from its node.
+func (e *Engine) legEnd(end LegEnd, at time.Duration) {
+	l := end.Leg
+	if l.done {
+		return
+	}
+	v := e.views[l.Ask.View]
+	if end.Outcome == rules.Succeeded && v.open {
+		e.answer(v, Answer{Verdict: Succeeded, Unchanged: end.Same, Body: end.Body})
+	}
+	e.finish(v, l)
+	e.tell(&rules.Event{Kind: rules.EventLegEnd, View: l.Ask.View, Leg: l.No, Node: l.Node, Outcome: end.Outcome, Note: end.Note,
+		Final: !v.open, Took: max(0, min(at, e.now)-l.sent), Waited: end.Waited, Report: end.Report})
+	e.forget(v)
+}
+
+// giveUp ends a leg from this side; the router hears of it next.
+func (e *Engine) giveUp(l *Leg, how rules.Outcome) {
+	if l.done {
+		return
+	}
+	if !e.caches.Abort(l) {
+		how = rules.Moot
+	}
+	v := e.views[l.Ask.View]
+	e.finish(v, l)
+	e.queue = append(e.queue, rules.Event{Kind: rules.EventLegEnd, View: l.Ask.View, Leg: l.No, Node: l.Node, Outcome: how,
+		Final: !v.open, Took: e.now - l.sent})
+	e.forget(v)
+}
+
+func (e *Engine) finish(v *view, l *Leg) {
+	l.done = true
+	v.outs--
+}
+
+func (e *Engine) forget(v *view) {
+	if !v.open && v.outs == 0 {
+		delete(e.views, v.ask.View)
+	}
+}
+
+// expire ends a view whose client's time is up: its legs have timed out, and what the router leaves open after that
+// is terminated.
+func (e *Engine) expire(id rules.ViewID) {
+	v := e.views[id]
+	if v == nil || !v.open {
+		return
+	}
+	for _, l := range v.legs {
+		e.giveUp(l, rules.TimedOut)
+	}
+	e.settle()
+	if v.open {
+		e.answer(v, Answer{Verdict: Terminated})
+		e.gone(v)
+	}
+}
+
+// gone tells the router that a view is over.
+func (e *Engine) gone(v *view) {
+	if v.open {
+		v.open = false
+		e.open.Add(-1)
+	}
+	e.tell(&rules.Event{Kind: rules.EventGone, View: v.ask.View})
+	e.forget(v)
+}
+
+func (e *Engine) answer(v *view, a Answer) {
+	if !v.open {
+		return
+	}
+	v.open = false
+	e.open.Add(-1)
+	switch a.Verdict {
+	case Succeeded:
+		e.counts.Succeeded++
+	case TurnedBack:
+		e.counts.TurnedBack++
+	default:
+		e.counts.Terminated++
+	}
+	v.ask.Client.Answer(v.ask.Tag, a)
+}
+
+// tell hands the router an event and does what it wants done, and so on for what follows from that.
+func (e *Engine) tell(ev *rules.Event) {
+	e.acts = e.router.Handle(e.now, ev, e.acts[:0])
+	e.obey()
+	e.settle()
+}
+
+// settle hands over the events that this side brought about.
+func (e *Engine) settle() {
+	for i := 0; i < len(e.queue); i++ {
+		ev := e.queue[i]
+		e.acts = e.router.Handle(e.now, &ev, e.acts[:0])
+		e.obey()
+	}
+	e.queue = e.queue[:0]
+}
+
+func (e *Engine) obey() {
+	for i := range e.acts {
+		a := &e.acts[i]
+		v := e.views[a.View]
+		switch a.Kind {
+		case rules.ActionAsk, rules.ActionGet:
+			if v != nil && v.open {
+				e.send(v, a)
+			}
+		case rules.ActionTurnBack:
+			if v != nil {
+				e.answer(v, Answer{Verdict: TurnedBack, Wait: a.Wait})
+				e.forget(v)
+			}
+		case rules.ActionTerminate:
+			if v != nil {
+				e.answer(v, Answer{Verdict: Terminated})
+				e.forget(v)
+			}
+		case rules.ActionCancel:
+			if v != nil && int(a.Leg) < len(v.legs) {
+				e.giveUp(v.legs[a.Leg], rules.Cancelled)
+			}
+		case rules.ActionProbe:
+			e.caches.Probe(a.Node)
+		case rules.ActionTimer:
+			heap.Push(&e.timers, timer{at: e.now + a.Wait, name: a.Timer})
+		case rules.ActionLog:
+			e.log.Info(a.Text)
+		}
+	}
+}
+
+func (e *Engine) send(v *view, a *rules.Action) {
+	l := &Leg{Ask: v.ask, No: rules.LegNo(len(v.legs)), Node: a.Node, Wait: v.end - e.now, Age: a.Age, Keep: a.Keep, How: a.How, sent: e.now}
+	if a.Kind == rules.ActionGet && a.Source != a.Node {
+		l.Source = a.Source
+	}
+	v.legs = append(v.legs, l)
+	v.outs++
+	e.counts.Legs++
+	if a.Limit > 0 && a.Limit < l.Wait {
+		l.Wait = a.Limit
+		heap.Push(&e.timers, timer{at: e.now + a.Limit, view: v.ask.View, leg: l})
+	}
+	e.caches.Send(l)
+}
+
+// timer is one of the router's, or the end of a leg or of a view.
+type timer struct {
+	at   time.Duration
+	view rules.ViewID // 0: the router's
+	leg  *Leg
+	name uint64
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/settings/config.go
@@ -0,0 +1,85 @@
+package settings
+
+// This file owns the configuration that a router of the service finds at its start: its environment and the file
+// that it names. It checks that the whole can be used, and decides nothing.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"fennelarch/rules"
+)
+
+// Config is what a router of the service is told at its start.
+type Config struct {
+	Name     string
+	Listen   string
+	Bulletin string
+	Seed     uint64
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+	Known    json.RawMessage // the bulletin's events so far
+	Rules    rules.Settings
+	Names    Names
+}
+
+// Load reads the environment and the file that it names.
+func Load(env func(string) string) (*Config, error) {
+	path := env("RELAY_CONFIG")
+	if path == "" {
+		return nil, errors.New("RELAY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Read(text, env("RELAY_NAME"), env("RELAY_LISTEN"))
+}
+
+// Read takes the text of a configuration; a name and an address from the environment go before its own.
+func Read(text []byte, name, listen string) (*Config, error) {
+	var f struct {
+		Name, Listen, Seed, Bulletin string
+		Limits                       struct {
+			Cores    float64 `json:"cores"`
+			MemoryMB int     `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		}
+		Known, Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Bulletin: f.Bulletin, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
+		Sockets: f.Limits.Sockets, Known: f.Known}
+	if name != "" {
+		c.Name = name
+	}
+	if listen != "" {
+		c.Listen = listen
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("configuration: seed %q is not hexadecimal", f.Seed)
+	}
+	for _, a := range []struct{ what, address string }{{"listen", c.Listen}, {"bulletin", c.Bulletin}} {
+		if _, _, err := net.SplitHostPort(a.address); err != nil {
+			return nil, fmt.Errorf("configuration: %s: %w", a.what, err)
+		}
+	}
+	if c.Cores <= 0 || c.MemoryMB < 32 || c.Sockets < 64 {
+		return nil, fmt.Errorf("configuration: limits of %g cores, %d MB, %d sockets are too small", c.Cores, c.MemoryMB, c.Sockets)
+	}
+	if c.Rules, c.Names, err = Decode(f.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if len(c.Rules.Tariffs) == 0 {
+		return nil, errors.New("settings: no classes")
+	}
+	return c, nil
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,19 +1,26 @@
-package wire
+// Package settings decodes what a router is told at its start. This file owns the settings object, which the bench
+// and the service give alike; it holds no default and decides nothing.
+package settings
 
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"time"
 
 	"fennelarch/rules"
 )
 
 // conf names the keys of the settings that the rules read; others are passed over.
 type conf struct {
-	Zone      int    `json:"az"`
-	Instances int    `json:"n_instances"`
-	Registry  string `json:"registry_mode"`
-	Weights   string `json:"weight_source"`
+	Zone      int      `json:"az"`
+	Zones     []string `json:"dcs"`
+	Kinds     []string `json:"shapes"`
+	Instances int      `json:"n_instances"`
+	Registry  string   `json:"registry_mode"`
+	Weights   string   `json:"weight_source"`
 	Classes   []struct {
+		Name     string  `json:"name"`
 		Stretch  float64 `json:"aim_stretch"`
 		Deadline float64 `json:"deadline_ms"`
 		Target   float64 `json:"target_ms"`
@@ -29,6 +36,8 @@
 	} `json:"tenants"`
 	Caps struct {
 		Cancel     bool    `json:"cancelling"`
+		Idle       float64 `json:"conn_idle_ms"`
+		Streams    int     `json:"multiplex"`
 		Connect    float64 `json:"connect_timeout_ms"`
 		MaxWait    float64 `json:"max_retry_after_ms"`
 		Tries      int     `json:"most_tries"`
@@ -95,24 +104,41 @@
 	return rules.KindID(*k)
 }
 
-// Settings reads the JSON text of a router's settings.
-func Settings(text []byte) (rules.Settings, error) {
+// Names are what the settings call things, by place, and the figures that only connections need.
+type Names struct {
+	Tariffs, Zones, Kinds, Columns []string
+
+	Idle    time.Duration // idle connections are closed after this
+	Streams int           // legs that one connection carries at a time
+}
+
+// Span is a time in milliseconds; one that is not a number or far off is 0.
+func Span(ms float64) time.Duration {
+	if !(ms > -1e12) {
+		return 0
+	}
+	return time.Duration(math.Round(min(ms, 1e12)*1000)) * time.Microsecond
+}
+
+// Decode reads the JSON text of a router's settings.
+func Decode(text []byte) (rules.Settings, Names, error) {
 	var c conf
 	if err := json.Unmarshal(text, &c); err != nil {
-		return rules.Settings{}, err
+		return rules.Settings{}, Names{}, err
 	}
+	names := Names{Zones: c.Zones, Kinds: c.Kinds, Columns: c.Report.Columns, Idle: Span(c.Caps.Idle), Streams: c.Caps.Streams}
 	s := rules.Settings{
 		Routers: c.Instances, Zone: rules.ZoneID(c.Zone), ZoneRouters: c.Own.Seats, ZoneInlet: c.Own.Inlet,
 		ParentKind: kind(c.Own.Parent), OriginKind: kind(c.Own.Origin),
 		Probes: c.Caps.Probes, Cancel: c.Caps.Cancel, SecondCopies: c.Caps.Second, RetryAfter: c.Caps.RetryAfter,
-		Legs: c.Caps.Tries, MaxWait: span(c.Caps.MaxWait), ConnectLimit: span(c.Caps.Connect),
-		AskForList: c.Registry == "subscribe", AskWithin: span(c.Rules.AskWithin),
-		DrainGrace: span(c.Rules.Drain), ColdShare: c.Rules.ColdShare, ColdFor: span(c.Rules.Cold),
-		FallMultiple: c.Rules.Multiple, FallFor: span(c.Rules.FallFor),
-		ParentColdShare: c.Own.ParentFloor, ParentColdFor: span(c.Own.ParentRamp),
+		Legs: c.Caps.Tries, MaxWait: Span(c.Caps.MaxWait), ConnectLimit: Span(c.Caps.Connect),
+		AskForList: c.Registry == "subscribe", AskWithin: Span(c.Rules.AskWithin),
+		DrainGrace: Span(c.Rules.Drain), ColdShare: c.Rules.ColdShare, ColdFor: Span(c.Rules.Cold),
+		FallMultiple: c.Rules.Multiple, FallFor: Span(c.Rules.FallFor),
+		ParentColdShare: c.Own.ParentFloor, ParentColdFor: Span(c.Own.ParentRamp),
 		ParentFallMultiple: c.Own.ParentMultiple,
-		OriginFallMultiple: c.Own.OriginMultiple, OriginFallFor: span(c.Own.OriginFor),
-		PurgeGrace: span(c.Own.PurgeGrace), PurgeDone: span(c.Own.Done),
+		OriginFallMultiple: c.Own.OriginMultiple, OriginFallFor: Span(c.Own.OriginFor),
+		PurgeGrace: Span(c.Own.PurgeGrace), PurgeDone: Span(c.Own.Done),
 		Direct: c.Own.Direct, Joins: c.Own.Joins, Siblings: reaches[c.Own.Neighbours],
 		Tells: tells[c.Own.Says], FlowKB: c.Own.Flow, Reports: vias[c.Report.Via],
 		WeightIsLink: c.Own.Flow > 0 && (c.Weights == "nominal" || c.Weights == "rough"),
@@ -123,16 +149,17 @@
 	for i, k := range c.Classes {
 		effect, known := effects[k.Effect]
 		if !known {
-			return s, fmt.Errorf("class %d has the unknown effect %q", i, k.Effect)
+			return s, names, fmt.Errorf("class %d has the unknown effect %q", i, k.Effect)
 		}
+		names.Tariffs = append(names.Tariffs, k.Name)
 		s.Tariffs = append(s.Tariffs, rules.Tariff{
-			Due: span(k.Target), DueStretch: k.Stretch, Hard: span(k.Deadline), Payoff: k.Worth, LatePayoff: k.Late,
-			Effect: effect, Scope: scopes[k.Group], Window: span(k.Window), Stream: k.Stream,
-			Write: at(c.Own.Write, i), Fresh: span(at(c.Own.Fresh, i)), Grace: span(at(c.Own.Older, i)),
+			Due: Span(k.Target), DueStretch: k.Stretch, Hard: Span(k.Deadline), Payoff: k.Worth, LatePayoff: k.Late,
+			Effect: effect, Scope: scopes[k.Group], Window: Span(k.Window), Stream: k.Stream,
+			Write: at(c.Own.Write, i), Fresh: Span(at(c.Own.Fresh, i)), Grace: Span(at(c.Own.Older, i)),
 		})
 	}
 	for _, t := range c.Tenants {
 		s.Tenants = append(s.Tenants, rules.Tenant{Allowance: t.Allowance})
 	}
-	return s, nil
+	return s, names, nil
 }
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -10,6 +10,7 @@
 	"math"
 	"time"
 
+	"fennelarch/internal/settings"
 	"fennelarch/rules"
 )
 
@@ -127,13 +128,6 @@
 	return out.Flush()
 }
 
-func span(ms float64) time.Duration {
-	if !(ms > -1e12) {
-		return 0
-	}
-	return time.Duration(math.Round(min(ms, 1e12)*1000)) * time.Microsecond
-}
-
 func millis(d time.Duration) float64 { return float64(d/time.Microsecond) / 1000 }
 
 func f64(b []byte) float64 { return math.Float64frombits(le.Uint64(b)) }
@@ -178,7 +172,7 @@
 	if count > (len(frame)-headerSize)/eventSize {
 		return fmt.Errorf("frame of %d bytes cannot hold %d records", len(frame), count)
 	}
-	now := span(f64(frame[12:]))
+	now := settings.Span(f64(frame[12:]))
 	tail := frame[headerSize+count*eventSize:]
 	for i := range count {
 		rec := frame[headerSize+i*eventSize:][:eventSize]
@@ -209,7 +203,7 @@
 		if err != nil {
 			return err
 		}
-		set, err := Settings(conf)
+		set, _, err := settings.Decode(conf)
 		if err != nil {
 			return fmt.Errorf("settings: %w", err)
 		}
@@ -234,12 +228,12 @@
 			e.Members = h.lists[rec[5]]
 		}
 	case evWithdrawn:
-		e.Kind, e.Object, e.Ago = rules.EventPurge, rules.ObjectID(le.Uint64(rec[5:])), span(f64(rec[13:]))
+		e.Kind, e.Object, e.Ago = rules.EventPurge, rules.ObjectID(le.Uint64(rec[5:])), settings.Span(f64(rec[13:]))
 		e.Group = rules.GroupID(le.Uint16(rec[21:]))
 	case evKnock:
 		e.Kind, e.View = rules.EventView, rules.ViewID(le.Uint64(rec[5:]))
 		e.Tariff, e.Tenant = rules.TariffID(rec[13]), rules.TenantID(le.Uint32(rec[14:]))
-		e.Object, e.Left, e.KB = rules.ObjectID(le.Uint64(rec[18:])), span(f64(rec[26:])), f32(rec[34:])
+		e.Object, e.Left, e.KB = rules.ObjectID(le.Uint64(rec[18:])), settings.Span(f64(rec[26:])), f32(rec[34:])
 		e.Group, e.Part = rules.GroupID(max(0, f32(rec[38:]))), int(f32(rec[42:]))
 		e.Repeat, e.Write = rec[46]&2 != 0, rec[46]&4 != 0
 	case evWhisper:
@@ -253,19 +247,19 @@
 		if e.Outcome = rules.Outcome(le.Uint16(rec[21:])); e.Outcome > rules.Missed {
 			return fmt.Errorf("unknown outcome %d", le.Uint16(rec[21:]))
 		}
-		e.Took, e.Final, e.Note = span(f64(rec[23:])), rec[31] != 0, rules.Note(rec[32])
-		e.Waited, e.Report = span(f64(rec[33:])), report(rec[41:])
+		e.Took, e.Final, e.Note = settings.Span(f64(rec[23:])), rec[31] != 0, rules.Note(rec[32])
+		e.Waited, e.Report = settings.Span(f64(rec[33:])), report(rec[41:])
 	case evAbandoned:
 		e.Kind, e.View = rules.EventGone, rules.ViewID(le.Uint64(rec[5:]))
 	case evHeaders:
 		e.Kind, e.View, e.Node = rules.EventStream, rules.ViewID(le.Uint64(rec[5:])), node(rec[13:])
-		e.Leg, e.Took = rules.LegNo(le.Uint16(rec[19:])), span(f64(rec[21:]))
+		e.Leg, e.Took = rules.LegNo(le.Uint16(rec[19:])), settings.Span(f64(rec[21:]))
 	case evPong:
 		e.Kind, e.Node = rules.EventProbed, node(rec[5:])
 		if e.Outcome = rules.Outcome(le.Uint16(rec[11:])); e.Outcome > rules.Missed {
 			return fmt.Errorf("unknown outcome %d", le.Uint16(rec[11:]))
 		}
-		e.Took, e.Report = span(f64(rec[13:])), report(rec[21:])
+		e.Took, e.Report = settings.Span(f64(rec[13:])), report(rec[21:])
 	default:
 		return fmt.Errorf("unknown code %d", rec[0])
 	}
@@ -290,7 +284,7 @@
 		m := rules.Member{
 			Node: node(part[15:]), State: rules.State(part[8]), Kind: rules.KindID(le.Uint16(part[9:])),
 			Zone: rules.ZoneID(le.Uint16(part[11:])), Cell: rules.CellID(le.Uint16(part[13:])),
-			Weight: f32(part[21:]), Started: span(f64(part)),
+			Weight: f32(part[21:]), Started: settings.Span(f64(part)),
 		}
 		if m.State > rules.Draining {
 			return fmt.Errorf("unknown state %d", part[8])
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"fennelarch/internal/settings"
 	"fennelarch/rules"
 )
 
@@ -94,10 +95,10 @@
 }
 
 func Example_settings() {
-	s, err := Settings([]byte(confText))
+	s, _, err := settings.Decode([]byte(confText))
 	fmt.Println(err, s.Zone, s.Routers, s.Legs, s.ParentKind, s.OriginKind, s.FlowKB, s.Tells == rules.TellsAll)
 	fmt.Println(s.Tariffs[0].Due, s.Tariffs[0].Hard, s.Tariffs[0].Effect == rules.Harmless)
-	_, err = Settings([]byte(`{"classes": [{"effect": "odd"}]}`))
+	_, _, err = settings.Decode([]byte(`{"classes": [{"effect": "odd"}]}`))
 	fmt.Println(err)
 	// Output:
 	// <nil> 1 1 6 1 2 1000 true
