--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -29,7 +29,7 @@
 
 func serve(c *settings.Config) error {
 	told := limits.Told{Cores: c.Cores, MemoryMB: c.MemoryMB, Sockets: c.Sockets, Streams: c.Names.Streams,
-		Connect: c.Rules.ConnectLimit, Idle: c.Names.Idle}
+		Connect: c.Rules.ConnectLimit, Idle: c.Names.Idle, Drain: c.Rules.DrainGrace, Purge: c.Rules.PurgeGrace}
 	for _, t := range c.Rules.Tariffs {
 		told.LongestHard = max(told.LongestHard, t.Hard)
 	}
@@ -41,11 +41,12 @@
 	defer flush()
 	log = log.With(zap.String("router", c.Name))
 
-	pool := back.New(lim, c.Names, c.Rules.Reports == rules.ViaProbe, log)
-	eng := engine.New(c.Rules, c.Seed, lim.Queue, time.Now(), pool, log)
-	pool.Report(eng.Post)
+	var eng *engine.Engine
+	post := func(at time.Time, what any) { eng.Post(at, what) }
+	pool := back.New(lim, c.Names, c.Rules.Reports == rules.ViaProbe, post, log)
+	eng = engine.New(c.Rules, c.Seed, lim.Queue, time.Now(), pool, log)
 	eng.Start(0)
-	server := front.New(lim, c.Names, c.Rules.Tariffs, eng.Post, log)
+	server := front.New(lim, c.Names, c.Rules.Tariffs, post)
 
 	var known bulletin.Page
 	if len(c.Known) > 0 {
@@ -53,41 +54,43 @@
 			return fmt.Errorf("configuration: known: %w", err)
 		}
 	}
-	direct := true
-	follower := bulletin.New(lim, c.Names, func(at time.Time, what any) {
-		if direct {
-			eng.Handle(0, engine.Event{At: at, What: what})
-		} else {
-			eng.Post(at, what)
-		}
-	}, log)
-	if err := follower.Take(&known); err != nil {
+	follower := bulletin.New(lim, c.Names, log)
+	if err := follower.Take(&known, func(what any) { eng.Handle(0, engine.Event{What: what}) }); err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
-	direct = false
 
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	done := make(chan struct{})
-	go eng.Run(done, lim.Summary)
-	go follower.Run(ctx, c.Bulletin)
+	done := make(chan struct{}) // never: the engine answers to the last
+	go eng.Run(done, lim.Summary, func(n engine.Counts) { summary(log, n, server.Count(), pool.Count()) })
+	go follower.Run(context.Background(), c.Bulletin, post)
 	go func() { _ = server.Serve(ln) }()
 	log.Info("started", zap.String("listen", c.Listen), zap.Float64("cores", lim.Cores), zap.Int64("memory", lim.Memory),
 		zap.Int("sockets", lim.Sockets))
 
-	<-stop
+	<-stop // a second order changes nothing
 	log.Info("stopping", zap.Int("open", eng.Open()))
 	begun := time.Now()
-	for time.Since(begun) < lim.Linger || (eng.Open() > 0 || !server.Quiet()) && time.Since(begun) < lim.Stop {
-		time.Sleep(20 * time.Millisecond)
+	eng.Post(begun, engine.Stop{After: lim.Stop})
+	for time.Since(begun) < lim.Linger || (eng.Open() > 0 || !server.Quiet()) && time.Since(begun) < lim.Stop+lim.Flush {
+		time.Sleep(pause)
 	}
-	_ = ln.Close()
 	log.Info("stopped", zap.Int("open", eng.Open()))
 	return nil
 }
+
+// pause is how often it is looked whether all is answered.
+const pause = 5 * time.Millisecond
+
+func summary(log *zap.Logger, n engine.Counts, clients, nodes int) {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	log.Info("summary", zap.Uint64("views", n.Views), zap.Uint64("succeeded", n.Succeeded),
+		zap.Uint64("turned_back", n.TurnedBack), zap.Uint64("terminated", n.Terminated), zap.Uint64("gone", n.Gone),
+		zap.Uint64("legs", n.Legs), zap.Int64("open", n.Open), zap.Duration("lag", n.Lag), zap.Int("clients", clients),
+		zap.Int("nodes", nodes), zap.Uint64("memory_mb", m.Sys>>20))
+}
--- a/internal/back/link.go
+++ b/internal/back/link.go
@@ -5,6 +5,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -23,44 +25,46 @@
 // order is a leg on this connection: first waiting, then put into the stream up to an end.
 type order struct {
 	leg   *engine.Leg
-	next  string // the source's name, if there is one
+	next  string    // the source's name, if there is one
+	until time.Time // not begun by then, it never goes
 	end   int64
 	heard int // reads before it was sent
 }
 
-// probe is a probe on its way.
-type probe struct {
+// asked is a probe on its way.
+type asked struct {
 	node rules.NodeID
 	sent time.Time
 }
 
 // link is one connection to a node.
 type link struct {
-	names *names
-	in    resp.Ring
-	dec   resp.Decoder
-	out   resp.Ring
+	limits *limits.Limits
+	names  *names
+	in     resp.Ring
+	dec    resp.Decoder
+	out    resp.Ring
 
-	waiting []order          // nothing of them is in the stream
-	open    map[uint64]order // by the id of the view
-	past    map[uint64]bool  // given up: a late answer may still come
-	probes  map[uint64]probe // by tag
-	tag     uint64           // last one used
-	head    []byte           // of the fetch that is being put into the stream
-	body    []byte           // its rest
-	words   []byte           // aborts and probes to come
-	added   int64            // bytes put into the stream
-	written int64            // bytes handed to the kernel
-	heard   int              // reads
-	doubt   bool             // a leg was given up of which nothing was heard, nor anything since
-	ends    []any            // engine.LegEnd and engine.Probed, to be taken by the driver
+	waiting []order              // nothing of them is in the stream
+	open    map[uint64]order     // by the id of the view
+	past    map[uint64]time.Time // when given up: a late answer may still come
+	probes  map[uint64]asked     // by tag
+	tag     uint64               // last one used
+	head    []byte               // of the fetch that is being put into the stream
+	body    []byte               // its rest
+	words   []byte               // aborts and probes to come
+	added   int64                // bytes put into the stream
+	written int64                // bytes handed to the kernel
+	heard   int                  // reads
+	doubt   bool                 // a leg was given up of which nothing was heard, nor anything since
+	ends    []any                // engine.LegEnd and engine.Probed, to be taken by the driver
 }
 
 func newLink(l *limits.Limits, n *names) *link {
 	most := l.Object + 8*l.Fields
-	return &link{names: n, in: resp.Ring{Bound: l.NodeIn}, out: resp.Ring{Bound: l.NodeOut},
+	return &link{limits: l, names: n, in: resp.Ring{Bound: l.NodeIn}, out: resp.Ring{Bound: l.NodeOut},
 		dec:  resp.Decoder{Args: l.Strings, Size: l.Object, Most: min(most, l.NodeIn)},
-		open: map[uint64]order{}, past: map[uint64]bool{}, probes: map[uint64]probe{}}
+		open: map[uint64]order{}, past: map[uint64]time.Time{}, probes: map[uint64]asked{}}
 }
 
 // busy is how many legs the connection has.
@@ -69,7 +73,8 @@
 // takes says whether a leg can go by this connection: its id must not be open or lately given up here.
 func (k *link) takes(l *engine.Leg) bool {
 	id := l.Ask.Ident
-	if _, open := k.open[id]; open || k.past[id] {
+	_, open := k.open[id]
+	if _, past := k.past[id]; open || past {
 		return false
 	}
 	for _, w := range k.waiting {
@@ -80,14 +85,15 @@
 	return true
 }
 
-func (k *link) send(l *engine.Leg, next string) {
-	k.waiting = append(k.waiting, order{leg: l, next: next, heard: k.heard})
+func (k *link) send(o order) {
+	o.heard = k.heard
+	k.waiting = append(k.waiting, o)
 }
 
 // abort gives a leg up and says whether it may have run: one of which nothing was in the stream has not.
-func (k *link) abort(l *engine.Leg) (mayHaveRun bool) {
-	for i, w := range k.waiting {
-		if w.leg == l {
+func (k *link) abort(l *engine.Leg, now time.Time) (mayHaveRun bool) {
+	for i := range k.waiting {
+		if k.waiting[i].leg == l {
 			k.waiting = slices.Delete(k.waiting, i, i+1)
 			return false
 		}
@@ -95,17 +101,18 @@
 	id := l.Ask.Ident
 	if o, open := k.open[id]; open && o.leg == l {
 		delete(k.open, id)
-		k.past[id] = true
 		k.doubt = k.doubt || o.heard == k.heard
 		k.words = appendWords(k.words, "abort", hex(id))
+		maps.DeleteFunc(k.past, func(_ uint64, at time.Time) bool { return now.Sub(at) > k.limits.Forget })
+		k.past[id] = now
 	}
 	return true
 }
 
-// ask adds a probe.
-func (k *link) ask(n rules.NodeID, verb string, now time.Time) {
+// probe adds a probe.
+func (k *link) probe(n rules.NodeID, verb string, now time.Time) {
 	k.tag++
-	k.probes[k.tag] = probe{n, now}
+	k.probes[k.tag] = asked{n, now}
 	k.words = appendWords(k.words, verb, strconv.FormatUint(k.tag, 10))
 }
 
@@ -128,7 +135,7 @@
 var newline = []byte("\r\n")
 
 // outgoing is what is to be written next; wrote says how much of it the kernel took.
-func (k *link) outgoing() []byte {
+func (k *link) outgoing(now time.Time) []byte {
 	for k.out.Room() > 0 {
 		switch {
 		case len(k.head) > 0: // a frame that is begun goes before anything else
@@ -140,6 +147,10 @@
 		case len(k.waiting) > 0:
 			o := k.waiting[0]
 			k.waiting = slices.Delete(k.waiting, 0, 1)
+			if now.After(o.until) {
+				k.ends = append(k.ends, engine.LegEnd{Leg: o.leg, Outcome: rules.Unconnected})
+				continue
+			}
 			body := o.leg.Ask.Body
 			k.head = k.appendFetch(k.head, o)
 			k.body = append(body[:len(body):len(body)], newline...)
@@ -213,6 +224,9 @@
 func (k *link) space() []byte { return k.in.Tail() }
 
 func (k *link) got(n int, now time.Time) error {
+	if n == 0 {
+		return nil
+	}
 	k.in.Commit(n)
 	k.heard++
 	k.doubt = false
@@ -283,7 +297,7 @@
 	}
 	outcome, known := outcomes[string(args[1])]
 	if !known {
-		return resp.ErrFraming
+		outcome = rules.Errored // the least that a word to come may mean
 	}
 	delete(k.open, id)
 	end.Leg, end.Outcome = o.leg, outcome
@@ -314,20 +328,18 @@
 
 // over ends all that is open: the connection is no more. What was not written to its last byte has not run.
 func (k *link) over() {
-	for _, o := range k.waiting {
-		k.ends = append(k.ends, engine.LegEnd{Leg: o.leg, Outcome: rules.Unconnected})
-	}
-	for _, o := range k.open {
+	open := slices.SortedFunc(maps.Values(k.open), func(a, b order) int { return cmp.Compare(a.end, b.end) })
+	for _, o := range append(open, k.waiting...) {
 		how := rules.Broken
-		if o.end > k.written {
+		if o.end == 0 || o.end > k.written {
 			how = rules.Unconnected
 		}
 		k.ends = append(k.ends, engine.LegEnd{Leg: o.leg, Outcome: how})
 	}
-	for _, p := range k.probes {
-		k.ends = append(k.ends, engine.Probed{Node: p.node, Outcome: rules.Unconnected})
+	for _, tag := range slices.Sorted(maps.Keys(k.probes)) {
+		k.ends = append(k.ends, engine.Probed{Node: k.probes[tag].node, Outcome: rules.Unconnected})
 	}
-	k.waiting, k.open, k.probes = nil, map[uint64]order{}, map[uint64]probe{}
+	k.waiting, k.open, k.probes = nil, map[uint64]order{}, map[uint64]asked{}
 }
 
 // take hands over what ended.
@@ -336,16 +348,3 @@
 	k.ends = nil
 	return ends
 }
-
-// holds says whether the leg is on this connection.
-func (k *link) holds(l *engine.Leg) bool {
-	if o, open := k.open[l.Ask.Ident]; open && o.leg == l {
-		return true
-	}
-	for _, w := range k.waiting {
-		if w.leg == l {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -1,10 +1,13 @@
 package back
 
 // This file owns the connections to the nodes: which node has which address, the goroutines that dial, read and write,
-// and the closing of idle ones. It must never look into a frame or choose a node; a leg goes where it was sent.
+// and the end of connections that rest, are in doubt or lead to a node that is no more. It must never look into a frame
+// or choose a node: a leg goes where it was sent.
 
 import (
+	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,7 +19,7 @@
 	"fennelarch/rules"
 )
 
-// Pool carries legs to nodes.
+// Pool carries legs to nodes. Where both are held, its lock is taken before that of a connection.
 type Pool struct {
 	limits limits.Limits
 	names  names
@@ -32,6 +35,7 @@
 type node struct {
 	uid, address string
 	state        rules.State
+	told         time.Time // when its state last changed
 	conns        []*conn
 }
 
@@ -42,15 +46,15 @@
 
 	mu   sync.Mutex
 	link *link
-	net  net.Conn // nil while it is dialled
+	up   net.Conn // nothing while it is dialled
 	over bool
 	used time.Time
 	wake chan struct{}
 }
 
-// New returns a pool that knows no node.
-func New(l limits.Limits, n settings.Names, reports bool, log *zap.Logger) *Pool {
-	p := &Pool{limits: l, names: names{tariffs: n.Tariffs, columns: n.Columns}, verb: "alive", log: log,
+// New returns a pool that knows no node. Ends of legs and probes go to post.
+func New(l limits.Limits, n settings.Names, reports bool, post func(at time.Time, what any), log *zap.Logger) *Pool {
+	p := &Pool{limits: l, names: names{tariffs: n.Tariffs, columns: n.Columns}, verb: "alive", post: post, log: log,
 		nodes: map[rules.NodeID]*node{}}
 	if reports {
 		p.verb = "stats"
@@ -58,74 +62,106 @@
 	return p
 }
 
-// Report sets where ends of legs and probes go. It is called once, before any leg is sent.
-func (p *Pool) Report(post func(at time.Time, what any)) { p.post = post }
+// Count is how many connections there are.
+func (p *Pool) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns
+}
+
+var states = [...]string{rules.Gone: "gone", rules.Ready: "ready", rules.Draining: "draining"}
 
-// Learn keeps the address of each node of the list.
+// Learn keeps the address of each node of the list. One that is gone is known for a while: legs may still name it.
 func (p *Pool) Learn(list []engine.Node, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	listed := map[rules.NodeID]bool{}
 	for _, m := range list {
 		listed[m.Node] = true
 		n := p.nodes[m.Node]
 		if n == nil {
-			n = &node{uid: m.UID}
+			n = &node{uid: m.UID, address: m.Address}
 			p.nodes[m.Node] = n
 		}
-		if n.state != m.State {
-			p.log.Info("node", zap.String("uid", m.UID), zap.String("state", states[m.State]))
-		}
 		if n.address != m.Address && m.Address != "" {
 			n.address = m.Address
+			p.drop(n)
 		}
-		n.state = m.State
+		p.turn(m.Node, n, m.State, now)
 	}
 	for id, n := range p.nodes {
 		if all && !listed[id] {
-			n.state = rules.Gone
+			p.turn(id, n, rules.Gone, now)
+		}
+		if n.state != rules.Gone {
+			continue
 		}
-		if n.state == rules.Gone && len(n.conns) == 0 {
+		for _, m := range list {
+			if m.Address == n.address && m.State == rules.Ready {
+				p.drop(n) // another stands there now
+			}
+		}
+		if len(n.conns) == 0 && now.Sub(n.told) > p.limits.Forget {
 			delete(p.nodes, id)
 		}
 	}
 }
 
-var states = [...]string{rules.Gone: "gone", rules.Ready: "ready", rules.Draining: "draining"}
+func (p *Pool) turn(id rules.NodeID, n *node, s rules.State, now time.Time) {
+	if n.state == s {
+		return
+	}
+	n.state, n.told = s, now
+	p.log.Info("node", zap.String("uid", n.uid), zap.String("id", fmt.Sprintf("%x", uint64(id))), zap.String("state", states[s]))
+}
 
-// Send puts a leg on a connection to its node: one that is up and not in doubt, else a new one.
+// drop ends the connections to a node, and with them what is open there.
+func (p *Pool) drop(n *node) {
+	for _, c := range n.conns {
+		go c.end()
+	}
+}
+
+// Send puts a leg on a connection to its node.
 func (p *Pool) Send(l *engine.Leg) {
-	if c, next := p.pick(l); c != nil {
+	now := time.Now()
+	p.mu.Lock()
+	c, order := p.place(l, now)
+	p.mu.Unlock()
+	if c != nil {
 		c.mu.Lock()
-		if !c.over {
-			c.link.send(l, next)
-			c.mu.Unlock()
-			c.stir()
-			return
+		fits := !c.over
+		if fits {
+			l.Carrier = c
+			c.link.send(order)
 		}
 		c.mu.Unlock()
+		if c.stir(); fits {
+			return
+		}
 	}
-	p.later(engine.LegEnd{Leg: l, Outcome: rules.Unconnected})
-}
-
-// later reports without waiting: the engine is the caller.
-func (p *Pool) later(what any) {
-	now := time.Now()
-	go p.post(now, what)
+	go p.post(now, engine.LegEnd{Leg: l, Outcome: rules.Unconnected}) // the caller must not wait
 }
 
-// pick finds the connection for a leg, and the name of its source.
-func (p *Pool) pick(l *engine.Leg) (c *conn, next string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if l.Source != 0 {
-		n := p.nodes[l.Source]
-		if n == nil {
-			return nil, ""
+// place finds the connection for a leg. To a node, or from a source, that is told to leave, it must be on its way soon.
+func (p *Pool) place(l *engine.Leg, now time.Time) (*conn, order) {
+	o := order{leg: l, until: now.Add(p.limits.Begin)}
+	for _, id := range [...]rules.NodeID{l.Node, l.Source} {
+		n := p.nodes[id]
+		switch {
+		case id == 0:
+			continue
+		case n == nil:
+			return nil, o
+		case n.state != rules.Ready:
+			o.until = now.Add(p.limits.BeginLate)
+		}
+		if id == l.Source {
+			o.next = n.uid
 		}
-		next = n.uid
 	}
-	return p.find(l.Node, l), next
+	return p.find(l.Node, l), o
 }
 
 // find is the least busy connection to a node that takes the leg and is not in doubt, a new one where there is none,
@@ -142,6 +178,8 @@
 		busy, fits, doubt := c.link.busy(), !c.over && (l == nil || c.link.takes(l)), c.link.doubt
 		c.mu.Unlock()
 		switch {
+		case doubt && busy == 0:
+			go c.end()
 		case !fits:
 		case doubt:
 			doubted = c
@@ -149,39 +187,42 @@
 			found, least = c, busy
 		}
 	}
-	if found != nil {
+	switch {
+	case found != nil:
 		return found
+	case len(n.conns) >= p.limits.NodeConns || p.conns >= p.limits.Nodes && !p.spare():
+		return doubted
 	}
-	if len(n.conns) < p.limits.NodeConns && p.conns < p.limits.Nodes {
-		c := &conn{pool: p, node: id, link: newLink(&p.limits, &p.names), wake: make(chan struct{}, 1), used: time.Now()}
-		n.conns = append(n.conns, c)
-		p.conns++
-		go c.run(n.address)
-		return c
+	c := &conn{pool: p, node: id, link: newLink(&p.limits, &p.names), wake: make(chan struct{}, 1), used: time.Now()}
+	n.conns = append(n.conns, c)
+	p.conns++
+	go c.run(n.address)
+	return c
+}
+
+// spare ends a connection on which nothing is open, so that another may stand for it.
+func (p *Pool) spare() bool {
+	for _, n := range p.nodes {
+		for _, c := range n.conns {
+			if c.rests(0) {
+				go c.end()
+				return true
+			}
+		}
 	}
-	return doubted
+	return false
 }
 
 // Abort gives a leg up and says whether it may have run.
 func (p *Pool) Abort(l *engine.Leg) bool {
-	p.mu.Lock()
-	n := p.nodes[l.Node]
-	var conns []*conn
-	if n != nil {
-		conns = n.conns
+	c, sent := l.Carrier.(*conn)
+	if !sent {
+		return false
 	}
-	p.mu.Unlock()
-	for _, c := range conns {
-		c.mu.Lock()
-		held := c.link.holds(l)
-		ran := !held || c.link.abort(l)
-		c.mu.Unlock()
-		if held {
-			c.stir()
-			return ran
-		}
-	}
-	return true
+	c.mu.Lock()
+	defer c.stir()
+	defer c.mu.Unlock()
+	return c.link.abort(l, time.Now())
 }
 
 // Probe asks a node for its state.
@@ -190,11 +231,11 @@
 	c := p.find(id, nil)
 	p.mu.Unlock()
 	if c == nil {
-		p.later(engine.Probed{Node: id, Outcome: rules.Unconnected})
+		go p.post(time.Now(), engine.Probed{Node: id, Outcome: rules.Unconnected})
 		return
 	}
 	c.mu.Lock()
-	c.link.ask(id, p.verb, time.Now())
+	c.link.probe(id, p.verb, time.Now())
 	c.mu.Unlock()
 	c.stir()
 }
@@ -208,26 +249,35 @@
 
 // run dials, starts the reader, and writes until the connection is over.
 func (c *conn) run(address string) {
+	defer c.end()
 	up, err := net.DialTimeout("tcp", address, c.pool.limits.Connect)
 	if err != nil {
-		c.end()
 		return
 	}
 	c.mu.Lock()
-	c.net = up
+	c.up = up
+	over := c.over
 	c.mu.Unlock()
+	if over {
+		_ = up.Close()
+		return
+	}
 	go c.read(up)
-	idle := time.NewTimer(c.pool.limits.Idle)
+	idle := time.NewTicker(c.pool.limits.Idle / 4)
 	defer idle.Stop()
 	for {
 		now := time.Now()
 		c.mu.Lock()
-		out, over := c.link.outgoing(), c.over
+		out, over := c.link.outgoing(now), c.over
+		ends := c.link.take()
 		c.mu.Unlock()
-		if over {
-			return
+		for _, end := range ends {
+			c.pool.post(now, end)
 		}
-		if len(out) > 0 {
+		switch {
+		case over:
+			return
+		case len(out) > 0:
 			_ = up.SetWriteDeadline(now.Add(c.pool.limits.Stuck))
 			n, err := up.Write(out)
 			c.mu.Lock()
@@ -235,7 +285,6 @@
 			c.used = now
 			c.mu.Unlock()
 			if err != nil {
-				c.end()
 				return
 			}
 			continue
@@ -243,24 +292,22 @@
 		select {
 		case <-c.wake:
 		case <-idle.C:
-			if c.resting() {
-				c.end()
+			if c.rests(c.pool.limits.Idle) {
 				return
 			}
-			idle.Reset(c.pool.limits.Idle / 4)
 		}
 	}
 }
 
-// resting says whether nothing has been on the connection for long; from then on it takes nothing.
-func (c *conn) resting() bool {
+// rests says whether nothing has been on the connection for so long; if so, it takes nothing more.
+func (c *conn) rests(long time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.link.busy() == 0 && time.Since(c.used) > c.pool.limits.Idle {
-		c.over = true
-		return true
+	if c.up == nil || c.link.busy() > 0 || time.Since(c.used) < long {
+		return false
 	}
-	return false
+	c.over = true
+	return true
 }
 
 func (c *conn) read(up net.Conn) {
@@ -272,11 +319,8 @@
 		n, err := up.Read(space)
 		now := time.Now()
 		c.mu.Lock()
-		var bad error
-		if n > 0 {
-			bad = c.link.got(n, now)
-			c.used = now
-		}
+		bad := c.link.got(n, now)
+		c.used = now
 		ends := c.link.take()
 		c.mu.Unlock()
 		for _, end := range ends {
@@ -288,18 +332,15 @@
 	}
 }
 
-// end takes the connection out of the pool and reports what was open on it.
+// end takes the connection out of the pool and reports what was open on it. It may be called more than once.
 func (c *conn) end() {
 	now := time.Now()
 	p := c.pool
 	p.mu.Lock()
 	if n := p.nodes[c.node]; n != nil {
-		for i, o := range n.conns {
-			if o == c {
-				n.conns = append(append([]*conn(nil), n.conns[:i]...), n.conns[i+1:]...)
-				p.conns--
-				break
-			}
+		if i := slices.Index(n.conns, c); i >= 0 {
+			n.conns = slices.Delete(n.conns, i, i+1)
+			p.conns--
 		}
 	}
 	p.mu.Unlock()
@@ -307,7 +348,7 @@
 	c.over = true
 	c.link.over()
 	ends := c.link.take()
-	up := c.net
+	up := c.up
 	c.mu.Unlock()
 	if up != nil {
 		_ = up.Close()
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -61,14 +61,14 @@
 type Follower struct {
 	limits limits.Limits
 	names  settings.Names
-	post   func(at time.Time, what any)
 	log    *zap.Logger
-	last   int64
+	last   int64 // number of the last event that was passed on
+	gap    int64 // number before which one is missing, as seen in the last page
 }
 
 // New returns a follower that has seen nothing.
-func New(l limits.Limits, n settings.Names, post func(at time.Time, what any), log *zap.Logger) *Follower {
-	return &Follower{limits: l, names: n, post: post, log: log}
+func New(l limits.Limits, n settings.Names, log *zap.Logger) *Follower {
+	return &Follower{limits: l, names: n, log: log}
 }
 
 // NodeID is the id of a node: a hash of its uid, so that all routers agree on it.
@@ -80,25 +80,29 @@
 
 var states = map[string]rules.State{"gone": rules.Gone, "ready": rules.Ready, "draining": rules.Draining}
 
-// Take passes on the events of a page that are new.
-func (f *Follower) Take(p *Page) error {
+// Take passes on the events of a page that are new. Where one is missing, what follows waits for the next page; if it is
+// missing there too, it is gone. Numbers that went back are those of a new bulletin, whose first event is a whole list.
+func (f *Follower) Take(p *Page, pass func(what any)) error {
 	if p.No < f.last {
 		f.log.Warn("bulletin went back", zap.Int64("from", f.last), zap.Int64("to", p.No))
+		f.last = 0
 	}
 	for _, it := range p.Items {
 		if it.No <= f.last {
 			continue
 		}
-		if it.No != f.last+1 {
+		if it.No != f.last+1 && it.No != f.gap {
 			f.log.Warn("bulletin has a gap", zap.Int64("after", f.last), zap.Int64("next", it.No))
+			f.gap = it.No
+			return nil
 		}
 		what, err := f.read(&it)
+		f.last = it.No
 		if err != nil {
 			return fmt.Errorf("event %d: %w", it.No, err)
 		}
-		f.last = it.No
 		if what != nil {
-			f.post(time.Now(), what)
+			pass(what)
 		}
 	}
 	return nil
@@ -137,11 +141,12 @@
 }
 
 // Run polls until the context ends.
-func (f *Follower) Run(ctx context.Context, address string) {
-	client := &http.Client{Timeout: f.limits.Poll + 2*f.limits.Late}
+func (f *Follower) Run(ctx context.Context, address string, post func(at time.Time, what any)) {
+	client := &http.Client{Timeout: f.limits.Silent}
+	pass := func(what any) { post(time.Now(), what) }
 	wait, silent := f.limits.Again, false
 	for ctx.Err() == nil {
-		err := f.poll(ctx, client, address)
+		err := f.poll(ctx, client, address, pass)
 		if err == nil {
 			if silent {
 				f.log.Info("bulletin is back", zap.Int64("no", f.last))
@@ -161,7 +166,7 @@
 	}
 }
 
-func (f *Follower) poll(ctx context.Context, client *http.Client, address string) error {
+func (f *Follower) poll(ctx context.Context, client *http.Client, address string, pass func(any)) error {
 	url := fmt.Sprintf("http://%s/bulletins?after=%d&patience=%d", address, f.last, f.limits.Poll.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -180,5 +185,5 @@
 		return err
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<10))
-	return f.Take(&p)
+	return f.Take(&p, pass)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,8 @@
 	Keep   uint8
 	How    rules.How
 
+	Carrier any // the carrier's own
+
 	sent time.Duration
 	done bool
 }
@@ -121,15 +124,20 @@
 // Gone says that a client no longer waits for a view.
 type Gone struct{ View rules.ViewID }
 
+// Stop says that this router will end: whatever view is open after so long gets its final answer then.
+type Stop struct{ After time.Duration }
+
 // Event is anything that the engine is told, with the time at which it came about.
 type Event struct {
 	At   time.Time
-	What any // *Ask, LegEnd, Probed, List, Purge, Gone
+	What any // *Ask, LegEnd, Probed, List, Purge, Gone, Stop
 }
 
 // Counts is what happened so far.
 type Counts struct {
 	Views, Succeeded, TurnedBack, Terminated, Gone, Legs uint64
+	Open                                                 int64
+	Lag                                                  time.Duration // longest wait of an event since the last ones
 }
 
 type view struct {
@@ -155,14 +163,14 @@
 	queue   []rules.Event
 	members []rules.Member
 	counts  Counts
-	lag     time.Duration // longest wait of an event since the last summary
+	stop    time.Duration // no view lasts longer
 	open    atomic.Int64
 }
 
 // New returns an engine whose clock starts at start.
 func New(set rules.Settings, seed uint64, queue int, start time.Time, caches Caches, log *zap.Logger) *Engine {
 	return &Engine{in: make(chan Event, queue), router: rules.New(set, seed), set: set, caches: caches, log: log, start: start,
-		views: map[rules.ViewID]*view{}}
+		stop: math.MaxInt64, views: map[rules.ViewID]*view{}}
 }
 
 // Post tells the engine of an event; it waits while the engine has too many before it.
@@ -171,8 +179,8 @@
 // Open is how many views have no final answer yet, those in the queue included as far as they were posted.
 func (e *Engine) Open() int { return int(e.open.Load()) + len(e.in) }
 
-// Run drives the engine by the system's clock until done is closed.
-func (e *Engine) Run(done <-chan struct{}, summary time.Duration) {
+// Run drives the engine by the system's clock until done is closed, and hands out its counts now and then.
+func (e *Engine) Run(done <-chan struct{}, every time.Duration, counts func(Counts)) {
 	timer := time.NewTimer(0)
 	told := e.now
 	for {
@@ -185,9 +193,11 @@
 		}
 		now := time.Since(e.start)
 		e.Tick(now)
-		if now-told >= summary {
+		if now-told >= every {
 			told = now
-			e.summary()
+			e.counts.Open = e.open.Load()
+			counts(e.counts)
+			e.counts.Lag = 0
 		}
 		if len(e.timers) > 0 {
 			timer.Reset(e.timers[0].at - now)
@@ -195,14 +205,6 @@
 	}
 }
 
-func (e *Engine) summary() {
-	c := e.counts
-	e.log.Info("summary", zap.Uint64("views", c.Views), zap.Uint64("succeeded", c.Succeeded),
-		zap.Uint64("turned_back", c.TurnedBack), zap.Uint64("terminated", c.Terminated), zap.Uint64("gone", c.Gone),
-		zap.Uint64("legs", c.Legs), zap.Int64("open", e.open.Load()), zap.Duration("lag", e.lag))
-	e.lag = 0
-}
-
 // Start begins the router's life; it comes before anything else.
 func (e *Engine) Start(now time.Duration) {
 	e.now = now
@@ -214,7 +216,7 @@
 func (e *Engine) Handle(now time.Duration, ev Event) {
 	e.now = max(now, e.now)
 	if !ev.At.IsZero() {
-		e.lag = max(e.lag, e.now-ev.At.Sub(e.start))
+		e.counts.Lag = max(e.counts.Lag, e.now-ev.At.Sub(e.start))
 	}
 	switch what := ev.What.(type) {
 	case *Ask:
@@ -233,6 +235,14 @@
 			e.counts.Gone++
 			e.gone(v)
 		}
+	case Stop:
+		e.stop = e.now + what.After
+		for id, v := range e.views {
+			if v.end > e.stop {
+				v.end = e.stop
+				heap.Push(&e.timers, timer{at: v.end, view: id})
+			}
+		}
 	}
 }
 
@@ -254,7 +264,7 @@
 }
 
 func (e *Engine) ask(a *Ask) {
-	v := &view{ask: a, end: a.At.Sub(e.start) + a.Left, open: true}
+	v := &view{ask: a, end: min(e.stop, a.At.Sub(e.start)+a.Left), open: true}
 	e.views[a.View] = v
 	e.open.Add(1)
 	e.counts.Views++
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -1,17 +1,19 @@
 package front
 
 // This file owns the listener and the goroutines of each client connection. redcon accepts, keeps and ends the
-// connections; the bytes are read here, under the session's bounds. It must never look into a frame.
+// connections; their bytes are read here, under the session's bounds, because redcon's own reader grows with whatever
+// length a client announces. It must never look into a frame.
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/redcon"
-	"go.uber.org/zap"
 
 	"fennelarch/internal/engine"
 	"fennelarch/internal/limits"
@@ -23,20 +25,17 @@
 type Server struct {
 	shared shared
 	post   func(at time.Time, what any)
-	log    *zap.Logger
 	redcon *redcon.Server
-	count  atomic.Int64 // connections
-	views  atomic.Uint64
 	busy   atomic.Int64 // connections on which something is open or to be written
-	down   atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*conn]bool
 }
 
-// New returns a server that answers a PING with UP until Down is called.
-func New(l limits.Limits, n settings.Names, tariffs []rules.Tariff, post func(at time.Time, what any), log *zap.Logger) *Server {
-	s := &Server{post: post, log: log}
-	s.shared = shared{limits: l, tariffs: map[string]rules.TariffID{},
-		view: func() rules.ViewID { return rules.ViewID(s.views.Add(1)) },
-		up:   func() bool { return !s.down.Load() }}
+// New returns a server; what clients want goes to post.
+func New(l limits.Limits, n settings.Names, tariffs []rules.Tariff, post func(at time.Time, what any)) *Server {
+	s := &Server{post: post, conns: map[*conn]bool{}}
+	s.shared.limits, s.shared.tariffs = l, map[string]rules.TariffID{}
 	for i, name := range n.Tariffs {
 		s.shared.tariffs[name] = rules.TariffID(i)
 		s.shared.writes = append(s.shared.writes, tariffs[i].Write)
@@ -48,25 +47,47 @@
 // Serve takes connections from a listener until it is closed.
 func (s *Server) Serve(l net.Listener) error { return s.redcon.Serve(listener{l, s}) }
 
-// Down answers a PING with DOWN from now on.
-func (s *Server) Down() { s.down.Store(true) }
-
 // Quiet says whether no connection has anything open or to be written.
 func (s *Server) Quiet() bool { return s.busy.Load() == 0 }
 
+// Count is how many connections there are.
+func (s *Server) Count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // listener hands redcon connections whose bytes are read here.
 type listener struct {
 	net.Listener
 	server *Server
 }
 
+// Accept never waits on anything but the network. Where there are too many connections, one that rests makes room.
 func (l listener) Accept() (net.Conn, error) {
 	up, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: up, server: l.server, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	c := &conn{Conn: up, server: l.server}
+	c.change = sync.NewCond(&c.mu)
 	c.session = newSession(&l.server.shared, c)
+	s := l.server
+	s.mu.Lock()
+	s.conns[c] = true
+	var rests *conn
+	if len(s.conns) > s.shared.limits.Clients {
+		for o := range s.conns {
+			if o != c && o.rests() {
+				rests = o
+				break
+			}
+		}
+	}
+	s.mu.Unlock()
+	if rests != nil {
+		_ = rests.Conn.Close()
+	}
 	return c, nil
 }
 
@@ -74,113 +95,125 @@
 type conn struct {
 	net.Conn
 	server *Server
-	wake   chan struct{}
-	done   chan struct{}
 
 	mu      sync.Mutex
+	change  *sync.Cond // of the session
 	session *session
 	busy    bool
 }
 
+// unlock lets go of the session after a change of it.
+func (c *conn) unlock() {
+	if busy := !c.session.idle(); busy != c.busy {
+		c.busy = busy
+		if busy {
+			c.server.busy.Add(1)
+		} else {
+			c.server.busy.Add(-1)
+		}
+	}
+	c.change.Broadcast()
+	c.mu.Unlock()
+}
+
 // Answer takes the final answer of a view.
 func (c *conn) Answer(tag uint64, a engine.Answer) {
 	c.mu.Lock()
 	c.session.answer(tag, a)
-	c.mu.Unlock()
-	c.stir()
+	c.unlock()
 }
 
-func (c *conn) stir() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
+func (c *conn) rests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.session.idle()
 }
 
-// Read is called by redcon's goroutine of the connection and returns when the connection is over.
+// Read is called by redcon's goroutine of the connection. It does all the reading and returns when the connection is
+// over, so that redcon ends it.
 func (c *conn) Read([]byte) (int, error) {
 	go c.write()
-	for {
+	for c.read() {
+	}
+	c.mu.Lock()
+	c.session.over()
+	events := c.session.take()
+	c.unlock()
+	for _, e := range events {
+		c.server.post(time.Now(), e)
+	}
+	s := c.server
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	return 0, io.EOF
+}
+
+// read takes what comes next, and says whether more may come.
+func (c *conn) read() bool {
+	c.mu.Lock()
+	space := c.session.space()
+	c.mu.Unlock()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.server.shared.limits.Rest))
+	n, err := c.Conn.Read(space)
+	now := time.Now()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.mu.Lock()
-		space := c.session.space()
-		c.mu.Unlock()
-		n, err := c.Conn.Read(space)
-		now := time.Now()
+		defer c.unlock()
+		return !c.session.rest()
+	}
+	if err != nil {
+		return false
+	}
+	for {
 		c.mu.Lock()
-		var bad error
-		if n > 0 {
-			bad = c.session.got(n, now)
-		}
-		if err != nil {
-			c.session.over()
-		}
+		bad := c.session.got(n, now)
 		events := c.session.take()
-		c.mark()
-		c.mu.Unlock()
+		full := c.session.full()
+		c.unlock()
 		for _, e := range events {
 			c.server.post(now, e)
 		}
-		c.stir()
-		if err != nil {
-			close(c.done)
-			return 0, io.EOF
-		}
-		if bad != nil {
-			c.drain()
-			c.mu.Lock()
-			c.session.over()
-			c.mark()
-			c.mu.Unlock()
-			close(c.done)
-			return 0, io.EOF
-		}
-	}
-}
-
-// drain waits until all that is open on a connection whose framing broke has its answer.
-func (c *conn) drain() {
-	for range 400 {
-		c.mu.Lock()
-		idle := c.session.idle()
-		c.mu.Unlock()
-		if idle {
-			return
+		switch {
+		case bad != nil: // what is open has its answer yet
+			c.await(func() bool { return c.session.idle() })
+			return false
+		case !full:
+			return true
 		}
-		time.Sleep(20 * time.Millisecond)
+		c.await(func() bool { return c.session.closed || !c.session.full() })
+		n = 0
 	}
 }
 
-// mark keeps the count of busy connections; the caller holds the lock.
-func (c *conn) mark() {
-	if busy := !c.session.idle(); busy != c.busy {
-		c.busy = busy
-		if busy {
-			c.server.busy.Add(1)
-		} else {
-			c.server.busy.Add(-1)
-		}
+func (c *conn) await(so func() bool) {
+	c.mu.Lock()
+	for !so() {
+		c.change.Wait()
 	}
+	c.mu.Unlock()
 }
 
 func (c *conn) write() {
 	for {
 		c.mu.Lock()
 		out := c.session.outgoing()
-		c.mu.Unlock()
-		if len(out) == 0 {
-			select {
-			case <-c.wake:
-				continue
-			case <-c.done:
-				return
-			}
+		for len(out) == 0 && !c.session.closed {
+			c.change.Wait()
+			out = c.session.outgoing()
+		}
+		closed := c.session.closed
+		c.unlock()
+		if closed {
+			return
 		}
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.server.shared.limits.Stuck))
 		n, err := c.Conn.Write(out)
 		c.mu.Lock()
-		c.session.out.Drop(n)
-		c.mark()
-		c.mu.Unlock()
+		if c.session.wrote(n); err != nil {
+			c.session.over()
+		}
+		c.unlock()
 		if err != nil {
 			_ = c.Conn.Close()
 			return
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -5,8 +5,11 @@
 
 import (
 	"errors"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"fennelarch/internal/engine"
@@ -23,8 +26,8 @@
 	limits  limits.Limits
 	tariffs map[string]rules.TariffID
 	writes  []bool
-	view    func() rules.ViewID
-	up      func() bool
+	views   atomic.Uint64
+	held    atomic.Int64 // bytes of answers that wait
 }
 
 // session is one client connection.
@@ -44,7 +47,7 @@
 }
 
 type answer struct {
-	tag    uint64
+	tag    string
 	word   string
 	fields string
 	body   []byte
@@ -53,7 +56,7 @@
 func newSession(s *shared, client engine.Client) *session {
 	l := &s.limits
 	return &session{shared: s, client: client, in: resp.Ring{Bound: l.ClientIn}, out: resp.Ring{Bound: l.ClientOut},
-		dec:  resp.Decoder{Args: l.Strings, Size: l.Request, Most: l.ClientIn},
+		dec:  resp.Decoder{Args: l.Strings, Size: l.ClientIn - 2*l.Fields, Most: l.ClientIn},
 		open: map[uint64]rules.ViewID{}}
 }
 
@@ -62,7 +65,7 @@
 
 func (s *session) got(n int, now time.Time) error {
 	s.in.Commit(n)
-	for {
+	for !s.full() {
 		args, err := s.dec.Next(&s.in)
 		if args == nil || err != nil {
 			return err
@@ -71,22 +74,25 @@
 			return err
 		}
 	}
+	return nil
 }
 
-// command takes one frame. What bears a usable tag gets an answer under it; without one there is nothing to say.
+// full says that the client must read before more of it is taken.
+func (s *session) full() bool { return len(s.waiting) >= s.shared.limits.Waiting }
+
+// command takes one frame. What cannot be used gets an answer under its tag; without a tag, or under one that is open,
+// none could be told from another.
 func (s *session) command(args [][]byte, now time.Time) error {
-	if len(args) < 2 {
+	if len(args) < 2 || len(args[1]) > s.shared.limits.Fields {
 		return resp.ErrFraming
 	}
 	tag, err := strconv.ParseUint(string(args[1]), 10, 64)
 	if err != nil || tag == 0 {
-		return resp.ErrFraming
+		s.say(answer{tag: string(args[1]), word: "FAILED"})
+		return nil
 	}
 	if string(args[0]) == "UNDO" {
-		if view, open := s.open[tag]; open {
-			delete(s.open, tag)
-			s.events = append(s.events, engine.Gone{View: view})
-		}
+		s.undo(tag)
 		return nil
 	}
 	if _, open := s.open[tag]; open {
@@ -94,26 +100,40 @@
 	}
 	switch string(args[0]) {
 	case "PING":
-		word := "DOWN"
-		if s.shared.up() {
-			word = "UP"
-		}
-		s.waiting = append(s.waiting, answer{tag: tag, word: word})
+		s.say(answer{tag: string(args[1]), word: "UP"})
 	case "DO":
 		a := s.ask(args[2:])
 		if a == nil || len(s.open) >= s.shared.limits.Open {
-			s.waiting = append(s.waiting, answer{tag: tag, word: "FAILED"})
+			s.say(answer{tag: string(args[1]), word: "FAILED"})
 			return nil
 		}
-		a.View, a.Client, a.Tag, a.At = s.shared.view(), s.client, tag, now
+		a.View, a.Client, a.Tag, a.At = rules.ViewID(s.shared.views.Add(1)), s.client, tag, now
 		s.open[tag] = a.View
 		s.events = append(s.events, a)
 	default:
-		s.waiting = append(s.waiting, answer{tag: tag, word: "FAILED"})
+		s.say(answer{tag: string(args[1]), word: "FAILED"})
 	}
 	return nil
 }
 
+// undo gives a view up; an answer of which nothing is in the stream yet is taken back.
+func (s *session) undo(tag uint64) {
+	if view, open := s.open[tag]; open {
+		delete(s.open, tag)
+		s.events = append(s.events, engine.Gone{View: view})
+		return
+	}
+	text := strconv.FormatUint(tag, 10)
+	s.waiting = slices.DeleteFunc(s.waiting, func(w answer) bool {
+		if w.tag == text {
+			s.shared.held.Add(-int64(len(w.body)))
+		}
+		return w.tag == text
+	})
+}
+
+func (s *session) say(a answer) { s.waiting = append(s.waiting, a) }
+
 // ask reads a view, or returns nothing if it can't be used.
 func (s *session) ask(args [][]byte) *engine.Ask {
 	if len(args) < 2 || len(args) > 3 {
@@ -165,6 +185,9 @@
 	if !ident || !object || a.Left < 0 {
 		return nil
 	}
+	if len(args) > 2 && len(args[2]) > s.shared.limits.Request {
+		return nil
+	}
 	if len(args) > 2 && len(args[2]) > 0 {
 		a.Body = append([]byte(nil), args[2]...)
 	}
@@ -190,43 +213,46 @@
 	return n, err == nil && n <= most
 }
 
-// answer adds the final answer of a view, unless the client has given it up.
+// answer adds the final answer of a view, unless the client has given it up. One for which there is no memory fails.
 func (s *session) answer(tag uint64, a engine.Answer) {
 	if _, open := s.open[tag]; !open {
 		return
 	}
 	delete(s.open, tag)
-	w := answer{tag: tag, word: "FAILED"}
+	w := answer{tag: strconv.FormatUint(tag, 10), word: "FAILED"}
 	switch {
 	case a.Verdict == engine.Succeeded && a.Unchanged:
 		w.word, w.fields = "OK", "unchanged=1"
-	case a.Verdict == engine.Succeeded:
+	case a.Verdict == engine.Succeeded && s.shared.held.Load()+int64(len(a.Body)) <= s.shared.limits.Answers:
 		w.word, w.body = "OK", a.Body
+		s.shared.held.Add(int64(len(a.Body)))
 	case a.Verdict == engine.TurnedBack:
 		w.word = "BUSY"
 		if a.Wait > 0 {
 			w.fields = "holdoff=" + strconv.FormatInt(max(1, a.Wait.Milliseconds()), 10)
 		}
 	}
-	s.waiting = append(s.waiting, w)
+	s.say(w)
 }
 
 var newline = []byte("\r\n")
 
-// outgoing is what is to be written next.
+// outgoing is what is to be written next; wrote says how much of it the kernel took.
 func (s *session) outgoing() []byte {
 	for s.out.Room() > 0 {
 		switch {
 		case len(s.head) > 0:
 			s.head = s.head[s.out.Append(s.head):]
 		case len(s.body) > 0:
-			if s.body = s.body[s.out.Append(s.body):]; len(s.body) == 0 {
-				s.head = newline
+			n := s.out.Append(s.body)
+			s.shared.held.Add(-int64(n))
+			if s.body = s.body[n:]; len(s.body) == 0 {
+				s.body, s.head = nil, newline
 			}
 		case len(s.waiting) > 0:
 			w := s.waiting[0]
-			s.waiting = s.waiting[:copy(s.waiting, s.waiting[1:])]
-			s.head = resp.AppendFrame(nil, len(w.body), strconv.AppendUint(nil, w.tag, 10), []byte(w.word), []byte(w.fields))
+			s.waiting = slices.Delete(s.waiting, 0, 1)
+			s.head = resp.AppendFrame(nil, len(w.body), []byte(w.tag), []byte(w.word), []byte(w.fields))
 			if s.body = w.body; len(s.body) == 0 {
 				s.head = append(s.head, newline...)
 			}
@@ -237,6 +263,8 @@
 	return s.out.Head()
 }
 
+func (s *session) wrote(n int) { s.out.Drop(n) }
+
 // idle says whether nothing is open and nothing waits to be written.
 func (s *session) idle() bool {
 	return s.closed || len(s.open) == 0 && len(s.waiting) == 0 && len(s.head) == 0 && len(s.body) == 0 && s.out.Len() == 0
@@ -245,10 +273,23 @@
 // over gives up all that is open: the connection is no more.
 func (s *session) over() {
 	s.closed = true
-	for tag, view := range s.open {
-		delete(s.open, tag)
-		s.events = append(s.events, engine.Gone{View: view})
+	for _, tag := range slices.Sorted(maps.Keys(s.open)) {
+		s.events = append(s.events, engine.Gone{View: s.open[tag]})
+	}
+	clear(s.open)
+	held := len(s.body)
+	for _, w := range s.waiting {
+		held += len(w.body)
 	}
+	s.shared.held.Add(-int64(held))
+	s.head, s.body, s.waiting = nil, nil, nil
+}
+
+// rest gives memory back while nothing is to be done, and says whether the connection may be closed.
+func (s *session) rest() bool {
+	s.in.Release()
+	s.out.Release()
+	return s.idle()
 }
 
 // take hands over what the client wants.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -15,8 +15,9 @@
 	Clients   int
 	Nodes     int // connections to all nodes together
 	NodeConns int // connections to one node
+	Streams   int // legs open on one of them
 
-	// Frames and rings, in bytes.
+	// Frames and rings, in bytes. Rings grow to these only where they are needed.
 	Strings   int // strings in a frame
 	Request   int // body of a view
 	Object    int // body of an answer
@@ -25,23 +26,29 @@
 	ClientOut int
 	NodeIn    int
 	NodeOut   int
-	Events    int // answer of the bulletin
+	Answers   int64 // bodies that wait for clients, all together
+	Events    int64 // one answer of the bulletin
 
-	Open  int // views open on one client connection
-	Queue int // events that wait for the engine
-	Lines int // lines that wait for the log
+	Open    int // views open on one client connection
+	Waiting int // answers that wait on one of them before its input does
+	Queue   int // events that wait for the engine
+	Lines   int // lines that wait for the log
 
-	Streams int           // legs open on one connection to a node
-	Connect time.Duration // until a connection to a node is up
-	Idle    time.Duration // until an idle connection to a node is closed
-	Probe   time.Duration // until a probe is given up
-	Stuck   time.Duration // until a peer that reads nothing is cut off
-	Poll    time.Duration // how long the bulletin may hold a poll
-	Again   time.Duration // the first wait after a failed poll; it doubles
-	Late    time.Duration // the longest such wait
-	Linger  time.Duration // how long new views come after the order to stop
-	Stop    time.Duration // until the process must have ended after it
-	Summary time.Duration // between two summary lines
+	Connect   time.Duration // until a connection to a node is up
+	Idle      time.Duration // until an idle connection to a node is closed
+	Rest      time.Duration // until a client connection is closed on which nothing comes and nothing is open
+	Stuck     time.Duration // until a peer that reads nothing is cut off
+	Begin     time.Duration // until a leg is on its way, or never goes: the rules count a send from its first byte
+	BeginLate time.Duration // the same to or from a node that is told to leave
+	Forget    time.Duration // until a gone node, or a leg given up, is forgotten: longer than any view lasts
+	Poll      time.Duration // how long the bulletin may hold a poll
+	Silent    time.Duration // until a poll is given up
+	Again     time.Duration // the first wait after a failed poll; it doubles
+	Late      time.Duration // the longest such wait
+	Linger    time.Duration // how long new views come after the order to stop
+	Stop      time.Duration // until the last view has its answer after it
+	Flush     time.Duration // and until the last answer is written
+	Summary   time.Duration // between two summary lines
 }
 
 // Told is what the configuration and the settings say.
@@ -52,19 +59,34 @@
 	Streams       int
 	Connect, Idle time.Duration
 	LongestHard   time.Duration
+	Drain, Purge  time.Duration // graces
 }
 
 // From derives the bounds from what was told.
 func From(t Told) Limits {
-	l := Limits{
+	streams := max(1, t.Streams)
+	if t.Connect <= 0 {
+		t.Connect = time.Second
+	}
+	if t.Idle <= 0 {
+		t.Idle = time.Minute
+	}
+	grace := t.Drain
+	if t.Purge > 0 {
+		grace = min(grace, t.Purge)
+	}
+	return Limits{
 		Cores: t.Cores, Memory: int64(t.MemoryMB) << 20, Sockets: t.Sockets,
-		Clients: t.Sockets / 2, Nodes: t.Sockets / 4, NodeConns: 6,
+		Clients: t.Sockets * 2 / 5, Nodes: t.Sockets / 4, NodeConns: max(4, 128/streams), Streams: streams,
 		Strings: 8, Request: 48_000, Object: 240_000, Fields: 1 << 10,
-		ClientIn: 64 << 10, ClientOut: 64 << 10, NodeIn: 256 << 10, NodeOut: 64 << 10, Events: 4 << 20,
-		Open: 32, Queue: 4096, Lines: 1024,
-		Streams: max(1, t.Streams), Connect: t.Connect, Idle: t.Idle * 8 / 10, Probe: 2 * t.Connect,
-		Stuck: 5 * time.Second, Poll: 4 * time.Second, Again: 50 * time.Millisecond, Late: time.Second,
-		Linger: 700 * time.Millisecond, Stop: t.LongestHard + 600*time.Millisecond, Summary: 5 * time.Second,
+		ClientIn: 64 << 10, ClientOut: 32 << 10, NodeIn: 256 << 10, NodeOut: 64 << 10,
+		Answers: int64(t.MemoryMB) << 20 / 6, Events: 4 << 20,
+		Open: 32, Waiting: 64, Queue: 4096, Lines: 1024,
+		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 15 * time.Second, Stuck: 5 * time.Second,
+		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
+		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
+		// The platform kills a router no sooner than the longest hard limit, or 3 s if that is less, and 0.7 s more.
+		Linger: 700 * time.Millisecond, Stop: min(t.LongestHard, 3*time.Second) + 450*time.Millisecond,
+		Flush: 150 * time.Millisecond, Summary: 5 * time.Second,
 	}
-	return l
 }
