--- /dev/null
+++ b/internal/back/link_test.go
@@ -0,0 +1,231 @@
+package back
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"fennelarch/internal/engine"
+	"fennelarch/internal/limits"
+	"fennelarch/rules"
+)
+
+var bounds = limits.From(limits.Told{MemoryMB: 64, Sockets: 256, Streams: 100, Drain: time.Second, LongestHard: time.Second})
+
+func testLink() *link {
+	return newLink(&bounds, &names{tariffs: []string{"clip", "signoff"}, columns: []string{"util", "x1"}})
+}
+
+func leg(ident uint64) *engine.Leg {
+	return &engine.Leg{Ask: &engine.Ask{Ident: ident, Object: 0xbeef, Part: 3}, Wait: 1500 * time.Millisecond}
+}
+
+// send puts a leg into the stream and has so many bytes of it written, all if -1.
+func (k *link) sendAll(l *engine.Leg, most int) string {
+	k.send(order{leg: l, until: time.Now().Add(time.Minute)})
+	out := k.outgoing(time.Now())
+	if most < 0 || most > len(out) {
+		most = len(out)
+	}
+	text := string(out[:most])
+	k.wrote(most)
+	return text
+}
+
+// hear feeds bytes, in parts of so many.
+func (k *link) hear(stream string, each int) error {
+	for len(stream) > 0 {
+		n := copy(k.space(), stream[:min(each, len(stream))])
+		if err := k.got(n, time.Now()); err != nil {
+			return err
+		}
+		stream = stream[n:]
+	}
+	return nil
+}
+
+// frame writes an array of the strings, as the other side would.
+func frame(strs ...string) string {
+	b := fmt.Sprintf("*%d\r\n", len(strs))
+	for _, s := range strs {
+		b += fmt.Sprintf("$%d\r\n%s\r\n", len(s), s)
+	}
+	return b
+}
+
+const ident = "00000000000000a7"
+
+func Example_fetch() {
+	k := testLink()
+	l := leg(0xa7)
+	l.Age, l.Keep, l.How = 2*time.Second, 2, rules.HowJoin|rules.HowHoldsOnly|rules.HowNoCopy|rules.HowRenew
+	l.Ask.Have, l.Ask.Body = "4be0", []byte("a\r\nb")
+	k.send(order{leg: l, next: "s-1", until: time.Now().Add(time.Second)})
+	fmt.Printf("%q\n", k.outgoing(time.Now()))
+	k.wrote(k.out.Len())
+	fmt.Printf("%q\n", k.sendAll(leg(0xa8), -1))
+	k.abort(l, time.Now())
+	k.probe(7, "stats", time.Now())
+	fmt.Printf("%q\n", k.outgoing(time.Now()))
+	// Output:
+	// "*4\r\n$5\r\nfetch\r\n$16\r\n00000000000000a7\r\n$117\r\nclass=clip,key=000000000000beef,part=3,wait=1500,next=s-1,admit=2,agelim=2000,ways=join+held+nocopy+renew,cached=4be0\r\n$4\r\na\r\nb\r\n"
+	// "*4\r\n$5\r\nfetch\r\n$16\r\n00000000000000a8\r\n$48\r\nclass=clip,key=000000000000beef,part=3,wait=1500\r\n$0\r\n\r\n"
+	// "*2\r\n$5\r\nabort\r\n$16\r\n00000000000000a7\r\n*2\r\n$5\r\nstats\r\n$1\r\n1\r\n"
+}
+
+// Every word and every note means to the rules what the simulator's would.
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		word, fields string
+		outcome      rules.Outcome
+		note         rules.Note
+	}{
+		{"200", "sum=1,t0=5,how=local", rules.Succeeded, rules.NoteHit},
+		{"200", "how=pulled,slow=12.5", rules.Succeeded, rules.NoteFilled},
+		{"200", "how=pulled_far", rules.Succeeded, rules.NoteViaOrigin},
+		{"200", "how=rode", rules.Succeeded, rules.NoteJoined},
+		{"200", "how=expired", rules.Succeeded, rules.NoteStale},
+		{"200", "-", rules.Succeeded, rules.NoteNone},
+		{"304", "how=local", rules.Succeeded, rules.NoteHit},
+		{"404", "how=rode", rules.Missed, rules.NoteJoined},
+		{"404", "", rules.Missed, rules.NoteNone},
+		{"503", "how=turned_away", rules.Full, rules.NoteRefused},
+		{"503", "how=no_place", rules.Full, rules.NoteNoPlace},
+		{"500", "how=cut_off", rules.Errored, rules.NoteUnreached},
+		{"500", "how=not_there", rules.Errored, rules.NoteLacks},
+		{"500", "how=far_fault", rules.Errored, rules.NoteOriginFail},
+		{"504", "-", rules.Moot, rules.NoteNone},
+		{"599", "how=unheard_of", rules.Errored, rules.NoteNone},
+	} {
+		for _, each := range []int{1, 7, 1 << 16} {
+			k := testLink()
+			l := leg(0xa7)
+			k.sendAll(l, -1)
+			if err := k.hear(frame(ident, c.word, c.fields+",stats=x1:2.5;util:0.25", "body"), each); err != nil {
+				t.Fatalf("%s %s: %v", c.word, c.fields, err)
+			}
+			ends := k.take()
+			if len(ends) != 1 {
+				t.Fatalf("%s %s: %d ends", c.word, c.fields, len(ends))
+			}
+			end := ends[0].(engine.LegEnd)
+			if end.Leg != l || end.Outcome != c.outcome || end.Note != c.note || end.Same != (c.word == "304") ||
+				(string(end.Body) == "body") != (c.word == "200") {
+				t.Errorf("%s %s: %+v", c.word, c.fields, end)
+			}
+			if end.Report != (rules.Report{N: 2, V: [4]float64{0.25, 2.5}}) {
+				t.Errorf("report %v", end.Report)
+			}
+			if c.fields == "how=pulled,slow=12.5" && end.Waited != 12500*time.Microsecond {
+				t.Errorf("waited %v", end.Waited)
+			}
+			if k.busy() != 0 {
+				t.Errorf("%s %s: still open", c.word, c.fields)
+			}
+		}
+	}
+}
+
+// A connection that ends proves that a leg did not run unless its last byte was handed over: a one-shot view goes by it.
+func TestOverAtEachByte(t *testing.T) {
+	whole := len(testLink().sendAll(leg(0xa7), -1))
+	for written := range whole + 1 {
+		k := testLink()
+		k.sendAll(leg(0xa7), written)
+		k.over()
+		want := rules.Unconnected
+		if written == whole {
+			want = rules.Broken
+		}
+		if ends := k.take(); len(ends) != 1 || ends[0].(engine.LegEnd).Outcome != want {
+			t.Errorf("%d of %d bytes written: %+v", written, whole, ends)
+		}
+	}
+}
+
+// A leg that is given up before it is begun leaves no trace on the wire; one that is begun may have run, and a late
+// answer to it is nobody's.
+func TestAbort(t *testing.T) {
+	k := testLink()
+	a, b := leg(0xa7), leg(0xa8)
+	k.send(order{leg: a, until: time.Now().Add(time.Minute)})
+	if k.abort(a, time.Now()) || len(k.outgoing(time.Now())) > 0 {
+		t.Error("a leg that waited may have run, or was written")
+	}
+	k.sendAll(b, 10)
+	if !k.abort(b, time.Now()) {
+		t.Error("a leg that is half written cannot run")
+	}
+	if text := string(k.outgoing(time.Now())); !strings.HasSuffix(text, frame("abort", "00000000000000a8")) || strings.Count(text, "*") != 1 {
+		t.Errorf("after half a leg: %q", text)
+	}
+	if k.takes(leg(0xa8)) || !k.takes(leg(0xa9)) || !k.doubt {
+		t.Error("the same view again would take the late answer for its own, or a silent connection is trusted")
+	}
+	if err := k.hear(frame("00000000000000a8", "200", "-", "late"), 100); err != nil || len(k.take()) > 0 || k.doubt {
+		t.Error("a late answer is not passed over")
+	}
+	if !k.takes(leg(0xa8)) {
+		t.Error("the late answer has come, and yet the view cannot go here")
+	}
+}
+
+// A leg that could not be begun in time never goes: its node may have drained meanwhile.
+func TestTooLateToBegin(t *testing.T) {
+	k := testLink()
+	now := time.Now()
+	k.send(order{leg: leg(0xa7), until: now})
+	if out := k.outgoing(now.Add(time.Millisecond)); len(out) > 0 {
+		t.Errorf("written: %q", out)
+	}
+	if ends := k.take(); len(ends) != 1 || ends[0].(engine.LegEnd).Outcome != rules.Unconnected {
+		t.Errorf("%+v", ends)
+	}
+}
+
+func TestProbes(t *testing.T) {
+	k := testLink()
+	k.probe(7, "stats", time.Now())
+	k.probe(8, "alive", time.Now())
+	k.probe(9, "stats", time.Now())
+	k.sendAll(leg(0xa7), -1)
+	if err := k.hear(frame("1", "alive", "stats=util:0.5")+frame("2", "dead", "-")+frame("2", "alive", "-"), 3); err != nil {
+		t.Fatal(err)
+	}
+	k.over()
+	var got []string
+	for _, e := range k.take() {
+		if p, probed := e.(engine.Probed); probed {
+			got = append(got, fmt.Sprint(p.Node, p.Outcome, p.Report.V[:p.Report.N]))
+		}
+	}
+	want := []string{fmt.Sprint(7, rules.Succeeded, []float64{0.5}), fmt.Sprint(8, rules.Errored, []float64{}),
+		fmt.Sprint(9, rules.Unconnected, []float64{})}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("%v, not %v", got, want)
+	}
+}
+
+// FuzzLink: no answer may crash it or end a leg twice, and what it holds stays bounded.
+func FuzzLink(f *testing.F) {
+	f.Add(frame(ident, "200", "how=local,stats=util:0.5;x1:1", "body") + frame(ident, "404"))
+	f.Add(frame("1", "alive") + frame("zz", "200") + frame(ident))
+	f.Add("*4\r\n$16\r\n" + ident + "\r\n$3\r\n200\r\n$0\r\n\r\n$240001\r\n")
+	f.Fuzz(func(t *testing.T, s string) {
+		k := testLink()
+		k.sendAll(leg(0xa7), -1)
+		k.probe(7, "stats", time.Now())
+		_ = k.hear(s, 64)
+		k.over()
+		ends := 0
+		for _, e := range k.take() {
+			if _, leg := e.(engine.LegEnd); leg {
+				ends++
+			}
+		}
+		if ends != 1 || k.in.Len() > bounds.NodeIn {
+			t.Errorf("%d ends, %d bytes held", ends, k.in.Len())
+		}
+	})
+}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -114,20 +114,22 @@
 		l := engine.List{All: it.Roster.All}
 		for _, t := range it.Roster.Targets {
 			state, known := states[t.State]
-			if !known || t.UID == "" {
-				return nil, fmt.Errorf("node %q in the state %q", t.UID, t.State)
+			kind, zone := slices.Index(f.names.Kinds, t.Kind), slices.Index(f.names.Zones, t.Zone)
+			if !known || t.UID == "" || kind < 0 || zone < 0 {
+				f.log.Warn("node cannot be used", zap.String("uid", t.UID), zap.String("state", t.State), zap.String("kind", t.Kind),
+					zap.String("zone", t.Zone))
+				continue
 			}
 			n := engine.Node{UID: t.UID, Address: t.Addr, Member: rules.Member{Node: NodeID(t.UID), State: state,
-				Kind: rules.KindID(slices.Index(f.names.Kinds, t.Kind)), Zone: rules.ZoneID(slices.Index(f.names.Zones, t.Zone)),
-				Cell: rules.CellID(t.Cell), Weight: t.Weight}}
+				Kind: rules.KindID(kind), Zone: rules.ZoneID(zone), Cell: rules.CellID(t.Cell), Weight: t.Weight}}
 			if t.Boot > 0 {
-				n.Boot = time.UnixMilli(t.Boot)
+				n.Boot = time.UnixMilli(t.Boot).UTC()
 			}
 			l.Nodes = append(l.Nodes, n)
 		}
 		return l, nil
 	case it.Recall != nil:
-		p := engine.Purge{Group: rules.GroupID(it.Recall.Lot), Issued: time.UnixMilli(it.Recall.Issued)}
+		p := engine.Purge{Group: rules.GroupID(it.Recall.Lot), Issued: time.UnixMilli(it.Recall.Issued).UTC()}
 		if it.Recall.Item != "" {
 			o, err := strconv.ParseUint(it.Recall.Item, 16, 64)
 			if err != nil {
--- /dev/null
+++ b/internal/bulletin/bulletin_test.go
@@ -0,0 +1,115 @@
+package bulletin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fennelarch/internal/engine"
+	"fennelarch/internal/limits"
+	"fennelarch/internal/settings"
+)
+
+func testFollower() *Follower {
+	l := limits.From(limits.Told{MemoryMB: 64, Sockets: 256})
+	l.Poll, l.Silent, l.Again = 50*time.Millisecond, 200*time.Millisecond, time.Millisecond
+	return New(l, settings.Names{Zones: []string{"west", "east"}, Kinds: []string{"std", "parent"}}, zap.NewNop())
+}
+
+func purge(no int) string {
+	return fmt.Sprintf(`{"no":%d,"recall":{"lot":%d,"issued":1764576000480}}`, no, no)
+}
+
+func page(no int, items ...string) string {
+	return fmt.Sprintf(`{"no":%d,"items":[%s]}`, no, strings.Join(items, ","))
+}
+
+// told takes a page and prints what is passed on.
+func told(f *Follower, text string) {
+	var p Page
+	if err := json.Unmarshal([]byte(text), &p); err != nil {
+		fmt.Println(err)
+		return
+	}
+	err := f.Take(&p, func(what any) { fmt.Printf("%+v; ", what) })
+	fmt.Println(err, f.last)
+}
+
+func ExampleFollower_Take() {
+	f := testFollower()
+	told(f, page(2, `{"no":1,"roster":{"rev":7,"all":true,"targets":[{"uid":"s-1","endpoint":"10.1.0.9:9090","az":"east",
+	  "model":"std","pod_group":2,"state":"draining","capacity_hint":4,"boot_ms":0}]}}`,
+		`{"no":2,"recall":{"item":"7f3a9c21e0b4d655","lot":5,"issued":1764576000123}}`))
+	told(f, page(3, purge(1), purge(2), purge(3))) // only the new one
+	told(f, page(6, purge(5), purge(6)))           // 4 is missing: asked for again
+	told(f, page(6, purge(5), purge(6)))           // and not to be had
+	told(f, page(8, `{"no":7,"other":{}}`, purge(8)))
+	told(f, page(9, `{"no":9,"roster":{"targets":[{"uid":"s-2","az":"east","model":"std","state":"odd"},
+	  {"uid":"s-3","az":"north","model":"std","state":"ready"},{"uid":"s-4","az":"west","model":"parent","state":"gone"}]}}`))
+	told(f, page(11, `{"no":10,"recall":{"item":"x"}}`, purge(11)))
+	told(f, page(11, purge(11)))
+	told(f, page(1, purge(1))) // the bulletin began anew
+	// Output:
+	// {Nodes:[{Member:{Node:9330572330461544228 State:2 Kind:0 Zone:1 Cell:2 Weight:4 Started:0s} UID:s-1 Address:10.1.0.9:9090 Boot:0001-01-01 00:00:00 +0000 UTC}] All:true}; {Object:9167811660783867477 Group:5 Issued:2025-12-01 08:00:00.123 +0000 UTC}; <nil> 2
+	// {Object:0 Group:3 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 3
+	// <nil> 3
+	// {Object:0 Group:5 Issued:2025-12-01 08:00:00.48 +0000 UTC}; {Object:0 Group:6 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 6
+	// {Object:0 Group:8 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 8
+	// {Nodes:[{Member:{Node:9330569031926659595 State:0 Kind:1 Zone:0 Cell:0 Weight:0 Started:0s} UID:s-4 Address: Boot:0001-01-01 00:00:00 +0000 UTC}] All:false}; <nil> 9
+	// event 10: strconv.ParseUint: parsing "x": invalid syntax 10
+	// {Object:0 Group:11 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 11
+	// {Object:0 Group:1 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 1
+}
+
+// Every kind of failed poll is tried again, and each event comes once and in order.
+func TestFailedPolls(t *testing.T) {
+	var polls atomic.Int64
+	silent := make(chan struct{})
+	stand := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var after int
+		fmt.Sscan(r.FormValue("after"), &after)
+		switch n := polls.Add(1); {
+		case r.URL.Path != "/bulletins" || r.FormValue("patience") != "50":
+			t.Errorf("asked for %s", r.URL)
+		case n == 2:
+			http.Error(w, "no", http.StatusInternalServerError)
+		case n == 3:
+			fmt.Fprint(w, `{"no":9,"ite`)
+		case n == 4:
+			panic(http.ErrAbortHandler)
+		case n == 5:
+			<-silent
+		default:
+			fmt.Fprint(w, page(after+1, purge(after+1)))
+		}
+	}))
+	defer stand.Close()
+	defer close(silent)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	events := make(chan any, 1)
+	go testFollower().Run(ctx, stand.Listener.Addr().String(), func(_ time.Time, what any) {
+		select {
+		case events <- what:
+		case <-ctx.Done():
+		}
+	})
+	for want := 1; want <= 20; want++ {
+		select {
+		case e := <-events:
+			if got := e.(engine.Purge).Group; int(got) != want {
+				t.Fatalf("event %d came, not %d", got, want)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("event %d did not come", want)
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -452,10 +452,12 @@
 
 type timers []timer
 
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t timers) Len() int      { return len(t) }
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].view < t[j].view
+}
+func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
 func (t *timers) Pop() any {
 	old := *t
 	last := old[len(old)-1]
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,220 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fennelarch/rules"
+)
+
+// A rig drives an engine by hand, with a clock of its own, and prints what reaches clients and nodes. Its fleet is one
+// cache A, one parent P and the origin O.
+type rig struct {
+	*Engine
+	start time.Time
+	at    time.Duration
+	legs  []*Leg
+	tried bool // the next legs given up are found not begun
+	mute  bool
+}
+
+const cache, parent, origin rules.NodeID = 1, 2, 3
+
+func newRig() *rig {
+	set := rules.Settings{Routers: 1, ZoneRouters: []int{1}, ParentKind: 1, OriginKind: 2, Cancel: true, SecondCopies: true,
+		RetryAfter: true, Legs: 6, MaxWait: time.Second, DrainGrace: time.Second, ColdShare: 1, ParentColdShare: 1,
+		PurgeGrace: time.Second, PurgeDone: 6 * time.Second, Direct: true, Tells: rules.TellsAll, FlowKB: 1000,
+		Tariffs: []rules.Tariff{
+			{Due: 500 * time.Millisecond, DueStretch: 2, Hard: 5 * time.Second, Payoff: 2},
+			{Due: 700 * time.Millisecond, Hard: 3 * time.Second, Payoff: 3, Effect: rules.OneShot, Write: true}}}
+	r := &rig{start: time.Now(), tried: true}
+	r.Engine = New(set, 1, 16, r.start, r, zap.NewNop())
+	r.Start(0)
+	var nodes []Node
+	for kind, id := range []rules.NodeID{cache, parent, origin} {
+		nodes = append(nodes, Node{Member: rules.Member{Node: id, State: rules.Ready, Kind: rules.KindID(kind), Weight: 1}})
+	}
+	r.tell(List{Nodes: nodes, All: true})
+	return r
+}
+
+func (r *rig) tell(what any) { r.Handle(r.at, Event{At: r.start.Add(r.at), What: what}) }
+
+func (r *rig) pass(d time.Duration) {
+	for end := r.at + d; r.at < end; {
+		r.at = min(end, r.at+time.Millisecond)
+		r.Tick(r.at)
+	}
+}
+
+func (r *rig) view(id rules.ViewID, tariff rules.TariffID, left time.Duration) {
+	r.tell(&Ask{View: id, Client: r, Tag: uint64(id), Tariff: tariff, Write: tariff == 1, Object: 7, KB: 100, Left: left,
+		At: r.start.Add(r.at)})
+}
+
+func (r *rig) end(leg int, o rules.Outcome, note rules.Note) {
+	r.tell(LegEnd{Leg: r.legs[leg], Outcome: o, Note: note, Body: []byte("bytes")})
+}
+
+func (r *rig) say(format string, args ...any) {
+	if !r.mute {
+		fmt.Printf("%7v ", r.at)
+		fmt.Printf(format+"\n", args...)
+	}
+}
+
+func (r *rig) Answer(tag uint64, a Answer) {
+	r.say("view %d: %s, %d bytes", tag, [...]string{"succeeded", "turned back", "terminated"}[a.Verdict], len(a.Body))
+}
+
+func (r *rig) Learn([]Node, bool) {}
+func (r *rig) Probe(rules.NodeID) {}
+
+func (r *rig) Send(l *Leg) {
+	r.legs = append(r.legs, l)
+	names := [...]string{"none", "A", "P", "O"}
+	r.say("view %d: leg to %s, fill from %s, for %v", l.Ask.View, names[l.Node], names[l.Source], l.Wait)
+}
+
+func (r *rig) Abort(l *Leg) bool {
+	r.say("view %d: leg %d given up", l.Ask.View, l.No)
+	return r.tried
+}
+
+func Example_ordinary() {
+	r := newRig()
+	r.view(1, 0, 2*time.Second)
+	r.pass(50 * time.Millisecond)
+	r.end(0, rules.Missed, rules.NoteLacks)
+	r.pass(50 * time.Millisecond)
+	r.end(1, rules.Succeeded, rules.NoteFilled)
+	r.end(1, rules.Succeeded, rules.NoteFilled) // a second end is nobody's
+	fmt.Println(len(r.views), r.Open())
+	// Output:
+	//      0s view 1: leg to A, fill from P, for 2s
+	//    50ms view 1: leg to A, fill from O, for 1.95s
+	//   100ms view 1: succeeded, 5 bytes
+	// 0 0
+}
+
+// The client's time is up: the legs are given up and the view gets its one answer.
+func Example_timeOut() {
+	r := newRig()
+	r.view(1, 0, 300*time.Millisecond)
+	r.view(2, 1, 300*time.Millisecond)
+	r.pass(time.Second)
+	r.end(0, rules.Succeeded, rules.NoteHit)
+	fmt.Println(len(r.views), r.Open())
+	// Output:
+	//      0s view 1: leg to A, fill from P, for 300ms
+	//      0s view 2: leg to O, fill from none, for 300ms
+	//   300ms view 1: leg 0 given up
+	//   300ms view 1: turned back, 0 bytes
+	//   300ms view 2: leg 0 given up
+	//   300ms view 2: terminated, 0 bytes
+	// 0 0
+}
+
+// A client that no longer waits gets nothing, and its legs are given up.
+func Example_gone() {
+	r := newRig()
+	r.view(1, 0, 2*time.Second)
+	r.pass(10 * time.Millisecond)
+	r.tell(Gone{View: 1})
+	r.tell(Gone{View: 1})
+	r.end(0, rules.Succeeded, rules.NoteHit)
+	r.pass(3 * time.Second)
+	fmt.Println(len(r.views), r.Open())
+	// Output:
+	//      0s view 1: leg to A, fill from P, for 2s
+	//    10ms view 1: leg 0 given up
+	// 0 0
+}
+
+// A one-shot view goes again only if it provably did not run; else it is terminated, not turned back.
+func Example_oneShot() {
+	r := newRig()
+	r.view(1, 1, 2*time.Second)
+	r.end(0, rules.Unconnected, 0)
+	r.pass(200 * time.Millisecond)
+	r.end(1, rules.Broken, 0)
+	r.view(2, 1, 100*time.Millisecond)
+	r.tried = false // of the next leg nothing is written when the time is up
+	r.pass(time.Second)
+	fmt.Println(len(r.views), r.Open())
+	// Output:
+	//      0s view 1: leg to O, fill from none, for 2s
+	//   120ms view 1: leg to O, fill from none, for 1.88s
+	//   200ms view 1: terminated, 0 bytes
+	//   200ms view 2: leg to O, fill from none, for 100ms
+	//   300ms view 2: leg 0 given up
+	//   300ms view 2: turned back, 0 bytes
+	// 0 0
+}
+
+// At the order to stop every view has its answer in the time that is left, those that come later too.
+func Example_stop() {
+	r := newRig()
+	r.view(1, 0, 5*time.Second)
+	r.pass(100 * time.Millisecond)
+	r.tell(Stop{After: time.Second})
+	r.pass(500 * time.Millisecond)
+	r.view(2, 0, 5*time.Second)
+	r.view(3, 0, 5*time.Second)
+	r.pass(100 * time.Millisecond)
+	r.end(2, rules.Succeeded, rules.NoteHit)
+	r.pass(time.Second)
+	fmt.Println(len(r.views), r.Open())
+	// Output:
+	//      0s view 1: leg to A, fill from P, for 5s
+	//   600ms view 2: leg to A, fill from P, for 500ms
+	//   600ms view 3: leg to A, fill from P, for 500ms
+	//   700ms view 3: succeeded, 5 bytes
+	//   960ms view 2: leg to A, fill from O, for 140ms
+	//    1.1s view 1: leg 0 given up
+	//    1.1s view 1: turned back, 0 bytes
+	//    1.1s view 2: leg 0 given up
+	//    1.1s view 2: leg 1 given up
+	//    1.1s view 2: turned back, 0 bytes
+	// 0 0
+}
+
+// What waited in the queue is taken off the client's time, and told as the engine's lag.
+func TestLag(t *testing.T) {
+	r := newRig()
+	r.mute = true
+	r.at = 400 * time.Millisecond
+	r.Handle(r.at, Event{At: r.start.Add(100 * time.Millisecond), What: &Ask{View: 1, Client: r, KB: 1, Left: time.Second,
+		At: r.start.Add(100 * time.Millisecond)}})
+	if len(r.legs) != 1 || r.legs[0].Wait != 700*time.Millisecond || r.counts.Lag != 300*time.Millisecond {
+		t.Errorf("%d legs, lag %v", len(r.legs), r.counts.Lag)
+	}
+}
+
+// Many views in every way that they can end leave nothing behind.
+func TestNothingIsLeft(t *testing.T) {
+	r := newRig()
+	r.mute = true
+	outcomes := []rules.Outcome{rules.Succeeded, rules.Errored, rules.Full, rules.Unconnected, rules.Broken, rules.Moot, rules.Missed}
+	for i := range 5000 {
+		r.view(rules.ViewID(i+1), rules.TariffID(i%5/4), time.Duration(i%400)*time.Millisecond)
+		r.pass(time.Duration(i%3) * time.Millisecond)
+		for k := max(0, len(r.legs)-4); k < len(r.legs); k++ {
+			r.end(k, outcomes[(i+k)%len(outcomes)], rules.Note(i%11))
+		}
+		if i%7 == 0 {
+			r.tell(Gone{View: rules.ViewID(i + 1)})
+		}
+	}
+	r.pass(10 * time.Second)
+	if len(r.views) > 0 || r.Open() > 0 || len(r.timers) > 1 || len(r.queue) > 0 {
+		t.Errorf("%d views, %d open, %d timers, %d events", len(r.views), r.Open(), len(r.timers), len(r.queue))
+	}
+	c := r.counts
+	if c.Succeeded+c.TurnedBack+c.Terminated+c.Gone != c.Views || c.Succeeded == 0 || c.Gone == 0 {
+		t.Errorf("%+v", c)
+	}
+}
--- /dev/null
+++ b/internal/front/session_test.go
@@ -0,0 +1,214 @@
+package front
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"fennelarch/internal/engine"
+	"fennelarch/internal/limits"
+	"fennelarch/rules"
+)
+
+func testSession() *session {
+	s := &shared{limits: limits.From(limits.Told{MemoryMB: 6, Sockets: 256, Streams: 100}),
+		tariffs: map[string]rules.TariffID{"clip": 0, "signoff": 1}, writes: []bool{false, true}}
+	return newSession(s, nil)
+}
+
+func frame(strs ...string) string {
+	b := fmt.Sprintf("*%d\r\n", len(strs))
+	for _, s := range strs {
+		b += fmt.Sprintf("$%d\r\n%s\r\n", len(s), s)
+	}
+	return b
+}
+
+const asked = "req=9b1f03aa5c7e2d41,timeout=1500,subject=7f3a9c21e0b4d655,piece=3,lot=17,need=412.5,ver=4be0c1927d55a6f3"
+
+func do(tag int, body string) string { return frame("DO", fmt.Sprint(tag), "clip", asked, body) }
+
+// hear feeds bytes in parts of so many, and tells what came of it: views, what was given up, and the words written.
+func (s *session) hear(stream string, each int) (string, error) {
+	var log []string
+	for len(stream) > 0 {
+		n := copy(s.space(), stream[:min(each, len(stream))])
+		err := s.got(n, time.Time{})
+		log = append(log, s.told()...)
+		log = append(log, s.words()...)
+		if err != nil {
+			return strings.Join(log, "; "), err
+		}
+		stream = stream[n:]
+	}
+	return strings.Join(log, "; "), nil
+}
+
+func (s *session) told() (log []string) {
+	for _, e := range s.take() {
+		switch e := e.(type) {
+		case *engine.Ask:
+			log = append(log, fmt.Sprintf("view %d tariff %d of %x/%d group %d, %g KB, %v left, write %v, has %q, id %x, %d bytes", e.Tag,
+				e.Tariff, uint64(e.Object), e.Part, e.Group, e.KB, e.Left, e.Write, e.Have, e.Ident, len(e.Body)))
+		case engine.Gone:
+			log = append(log, fmt.Sprint("gone ", e.View))
+		}
+	}
+	return log
+}
+
+// words drains what is to be written.
+func (s *session) words() (log []string) {
+	var all string
+	for {
+		out := s.outgoing()
+		if len(out) == 0 {
+			break
+		}
+		all += string(out)
+		s.wrote(len(out))
+	}
+	for part := range strings.SplitSeq(all, "*4\r\n") {
+		if w := strings.Split(part, "\r\n"); len(w) > 7 {
+			log = append(log, strings.Join([]string{w[1], w[3], w[5], w[7]}, " "))
+		}
+	}
+	return log
+}
+
+func Example_view() {
+	s := testSession()
+	fmt.Println(s.hear(frame("PING", "1")+do(2, ""), 1<<16))
+	fmt.Println(s.hear(frame("DO", "3", "signoff", "req=9b1f03aa5c7e2d42,timeout=7,subject=0000000000000001", "a\r\nb"), 1<<16))
+	_, _ = s.hear(do(4, "")+do(5, "")+do(6, "")+do(7, ""), 1<<16)
+	s.answer(3, engine.Answer{Verdict: engine.Terminated})
+	s.answer(4, engine.Answer{Verdict: engine.Succeeded, Body: []byte("bytes")})
+	s.answer(5, engine.Answer{Verdict: engine.Succeeded, Unchanged: true})
+	s.answer(6, engine.Answer{Verdict: engine.TurnedBack, Wait: 250 * time.Millisecond})
+	s.answer(6, engine.Answer{Verdict: engine.Terminated})
+	s.answer(7, engine.Answer{Verdict: engine.TurnedBack})
+	fmt.Printf("%q\n", s.words())
+	s.over()
+	fmt.Println(s.told(), s.idle())
+	// Output:
+	// view 2 tariff 0 of 7f3a9c21e0b4d655/3 group 17, 412.5 KB, 1.5s left, write false, has "4be0c1927d55a6f3", id 9b1f03aa5c7e2d41, 0 bytes; 1 UP   <nil>
+	// view 3 tariff 1 of 1/0 group 0, 0 KB, 7ms left, write true, has "", id 9b1f03aa5c7e2d42, 4 bytes <nil>
+	// ["3 FAILED  " "4 OK  bytes" "5 OK unchanged=1 " "6 BUSY holdoff=250 " "7 BUSY  "]
+	// [gone 1] true
+}
+
+// What can be answered under a tag fails there and leaves the connection in use.
+func TestBadViews(t *testing.T) {
+	bad := []string{
+		frame("GET", "1", "clip", asked), frame("DO", "1"), frame("DO", "1", "clip"), frame("DO", "1", "film", asked),
+		frame("DO", "1", "clip", asked, "", "more"), frame("DO", "1", "clip", ""), frame("DO", "1", "clip", "-"),
+		frame("DO", "1", "clip", strings.Replace(asked, "req=", "rid=", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "req=9", "req=", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "req=9", "req=G", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "timeout=1500,", "", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "1500", "-1", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "1500", "99999999999", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "subject", "object", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "7f3a", "zz3a", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "piece=3", "piece=x", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "lot=17", "lot=256", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "412.5", "NaN", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "412.5", "-1", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "412.5", "1e999", 1)),
+		do(1, strings.Repeat("x", 48_001)), frame("UNDO", "x"), frame("DO", "0", "clip", asked), frame("DO", "-1", "clip", asked),
+		frame("DO", "", "clip", asked),
+	}
+	for _, stream := range bad {
+		for _, each := range []int{1, 13, 1 << 16} {
+			s := testSession()
+			got, err := s.hear(stream+do(2, "")+frame("PING", "3"), each)
+			if err != nil || strings.Count(got, "FAILED") != 1 || strings.Count(got, "view") != 1 || !strings.Contains(got, "3 UP") {
+				t.Errorf("%.90q in parts of %d: %s, %v", stream, each, got, err)
+			}
+		}
+	}
+	if got, err := testSession().hear(do(1, strings.Repeat("x", 48_000)), 1<<16); err != nil || !strings.HasSuffix(got, "48000 bytes") {
+		t.Errorf("the largest body: %.100s, %v", got, err)
+	}
+	for _, stream := range []string{"GET / HTTP/1.1\r\n", "*2\r\n$4\r\nPING\r\n$99999999\r\n", frame("PING"), do(9, ""), frame("PING", "9")} {
+		s := testSession()
+		if got, err := s.hear(do(9, "")+stream, 1); err == nil || s.idle() {
+			t.Errorf("%q leaves the connection in use, or its open view out: %s", stream, got)
+		}
+	}
+}
+
+func TestManyOpen(t *testing.T) {
+	s := testSession()
+	var stream string
+	for tag := range 34 {
+		stream += do(tag+1, "")
+	}
+	got, err := s.hear(stream, 1000)
+	if err != nil || strings.Count(got, "view") != 32 || !strings.Contains(got, "33 FAILED") || !strings.Contains(got, "34 FAILED") {
+		t.Errorf("%s, %v", got, err)
+	}
+}
+
+// UNDO and the answer may cross: nothing is written for a view that was given up, and never two answers.
+func TestUndo(t *testing.T) {
+	s := testSession()
+	got, err := s.hear(do(1, "")+do(2, "")+frame("UNDO", "1")+frame("UNDO", "1")+frame("UNDO", "7"), 1<<16)
+	if err != nil || !strings.HasSuffix(got, "gone 1") || strings.Count(got, "gone") != 1 {
+		t.Errorf("%s, %v", got, err)
+	}
+	s.answer(1, engine.Answer{Body: []byte("late")})
+	s.answer(2, engine.Answer{Body: []byte("in time")})
+	if got, err := s.hear(frame("UNDO", "2"), 1<<16); got != "" || err != nil || !s.idle() || s.shared.held.Load() != 0 {
+		t.Errorf("%q, %v, %d bytes held", got, err, s.shared.held.Load())
+	}
+}
+
+// A client that reads nothing holds a ring, its open answers and no more: its input waits, and past the memory for all
+// answers views fail.
+func TestSlowReader(t *testing.T) {
+	s := testSession()
+	for tag := range 32 {
+		if err := s.got(copy(s.space(), do(tag+1, "")), time.Time{}); err != nil {
+			t.Fatal(err)
+		}
+		s.answer(uint64(tag+1), engine.Answer{Body: make([]byte, 100_000)})
+		s.outgoing()
+	}
+	if l := s.shared.limits; s.shared.held.Load() > l.Answers || s.out.Len() > l.ClientOut {
+		t.Errorf("%d bytes of answers held, %d in the ring", s.shared.held.Load(), s.out.Len())
+	}
+	for i := 0; i < 200 && !s.full(); i++ {
+		if err := s.got(copy(s.space(), frame("PING", fmt.Sprint(100+i))), time.Time{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !s.full() || len(s.waiting) > s.shared.limits.Waiting {
+		t.Errorf("%d answers wait", len(s.waiting))
+	}
+	if all := strings.Join(s.words(), ";"); strings.Count(all, "OK") < 8 || strings.Count(all, "FAILED")+strings.Count(all, "OK") != 32 {
+		t.Errorf("%d OK, %d FAILED", strings.Count(all, "OK"), strings.Count(all, "FAILED"))
+	}
+	if s.shared.held.Load() != 0 {
+		t.Errorf("%d bytes held at the end", s.shared.held.Load())
+	}
+}
+
+// FuzzSession: no client may crash it, leave anything open or held, or make it hold more than its ring.
+func FuzzSession(f *testing.F) {
+	f.Add(do(1, "body")+frame("UNDO", "1")+frame("PING", "2"), 7)
+	f.Add(frame("DO", "0", "clip", asked)+"*1\r\n$", 1)
+	f.Fuzz(func(t *testing.T, stream string, each int) {
+		s := testSession()
+		_, _ = s.hear(stream, min(max(1, each), math.MaxInt16))
+		if s.in.Len() > s.shared.limits.ClientIn {
+			t.Errorf("%d bytes held", s.in.Len())
+		}
+		s.over()
+		if !s.idle() || s.shared.held.Load() != 0 {
+			t.Error("something is left")
+		}
+	})
+}
