--- a/cmd/fennelarch/log.go
+++ b/cmd/fennelarch/log.go
@@ -19,11 +19,14 @@
 type lines struct {
 	queue chan []byte
 	lost  atomic.Int64
+	done  atomic.Int64 // lines taken from the queue and written
+	taken atomic.Int64 // lines put into it
 }
 
 func (l *lines) Write(p []byte) (int, error) {
 	select {
 	case l.queue <- append([]byte(nil), p...):
+		l.taken.Add(1)
 	default:
 		l.lost.Add(1)
 	}
@@ -35,6 +38,7 @@
 func (l *lines) run() {
 	for p := range l.queue {
 		_, _ = os.Stderr.Write(p)
+		l.done.Add(1)
 		if n := l.lost.Swap(0); n > 0 {
 			fmt.Fprintf(os.Stderr, "%d lines of the log were lost\n", n)
 		}
@@ -43,7 +47,7 @@
 
 // flush waits a little until the lines so far are out.
 func (l *lines) flush() {
-	for end := time.Now().Add(flushFor); len(l.queue) > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(flushFor); l.done.Load() < l.taken.Load() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 }
