--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -72,7 +72,7 @@
 			return nil, fmt.Errorf("configuration: %s: %w", a.what, err)
 		}
 	}
-	if c.Cores <= 0 || c.MemoryMB < 32 || c.Sockets < 64 {
+	if c.Cores <= 0 || c.MemoryMB < 16 || c.Sockets < 32 {
 		return nil, fmt.Errorf("configuration: limits of %g cores, %d MB, %d sockets are too small", c.Cores, c.MemoryMB, c.Sockets)
 	}
 	if c.Rules, c.Names, err = Decode(f.Settings); err != nil {
