One writer of frames for clients and nodes; odd reports, pages and full tables are met

Seen on a read of the network code: session and link each put frames into their ring by a loop of their own; a report of which one column is missing counted it as 0; NaN went through; a 304 to a client without a copy told it that its copy is the one; a page of the bulletin that brings nothing and does not wait was asked for again at once; with all client connections busy there was no bound, and a failed accept was asked again without a pause.

--- a/internal/back/link.go
+++ b/internal/back/link.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -14,6 +15,7 @@
 	"fennelarch/internal/engine"
 	"fennelarch/internal/limits"
 	"fennelarch/internal/resp"
+	"fennelarch/internal/settings"
 	"fennelarch/rules"
 )
 
@@ -43,18 +45,14 @@
 	names  *names
 	in     resp.Ring
 	dec    resp.Decoder
-	out    resp.Ring
+	out    resp.Writer
 
 	waiting []order              // nothing of them is in the stream
 	open    map[uint64]order     // by the id of the view
 	past    map[uint64]time.Time // when given up: a late answer may still come
 	probes  map[uint64]asked     // by tag
 	tag     uint64               // last one used
-	head    []byte               // of the fetch that is being put into the stream
-	body    []byte               // its rest
 	words   []byte               // aborts and probes to come
-	added   int64                // bytes put into the stream
-	written int64                // bytes handed to the kernel
 	heard   int                  // reads
 	doubt   bool                 // a leg was given up of which nothing was heard, nor anything since
 	ends    []any                // engine.LegEnd and engine.Probed, to be taken by the driver
@@ -62,7 +60,7 @@
 
 func newLink(l *limits.Limits, n *names) *link {
 	most := l.Object + 8*l.Fields
-	return &link{limits: l, names: n, in: resp.Ring{Bound: l.NodeIn}, out: resp.Ring{Bound: l.NodeOut},
+	return &link{limits: l, names: n, in: resp.Ring{Bound: l.NodeIn}, out: resp.Writer{Ring: resp.Ring{Bound: l.NodeOut}},
 		dec:  resp.Decoder{Args: l.Strings, Size: l.Object, Most: min(most, l.NodeIn)},
 		open: map[uint64]order{}, past: map[uint64]time.Time{}, probes: map[uint64]asked{}}
 }
@@ -102,7 +100,7 @@
 	if o, open := k.open[id]; open && o.leg == l {
 		delete(k.open, id)
 		k.doubt = k.doubt || o.heard == k.heard
-		k.words = appendWords(k.words, "abort", hex(id))
+		k.words = resp.AppendWords(k.words, "abort", hex(id))
 		maps.DeleteFunc(k.past, func(_ uint64, at time.Time) bool { return now.Sub(at) > k.limits.Forget })
 		k.past[id] = now
 	}
@@ -113,18 +111,7 @@
 func (k *link) probe(n rules.NodeID, verb string, now time.Time) {
 	k.tag++
 	k.probes[k.tag] = asked{n, now}
-	k.words = appendWords(k.words, verb, strconv.FormatUint(k.tag, 10))
-}
-
-func appendWords(b []byte, words ...string) []byte {
-	args := make([][]byte, len(words)-1)
-	for i := range args {
-		args[i] = []byte(words[i])
-	}
-	last := words[len(words)-1]
-	b = resp.AppendFrame(b, len(last), args...)
-	b = append(b, last...)
-	return append(b, '\r', '\n')
+	k.words = resp.AppendWords(k.words, verb, strconv.FormatUint(k.tag, 10))
 }
 
 func hex(id uint64) string {
@@ -132,49 +119,29 @@
 	return "0000000000000000"[len(s):] + s
 }
 
-var newline = []byte("\r\n")
+// outgoing is what is to be written next.
+func (k *link) outgoing(now time.Time) []byte { return k.out.Next(func() bool { return k.more(now) }) }
 
-// outgoing is what is to be written next; wrote says how much of it the kernel took.
-func (k *link) outgoing(now time.Time) []byte {
-	for k.out.Room() > 0 {
-		switch {
-		case len(k.head) > 0: // a frame that is begun goes before anything else
-			k.head = k.shift(k.head)
-		case len(k.body) > 0:
-			k.body = k.body[k.add(k.body):]
-		case len(k.words) > 0:
-			k.words = k.shift(k.words)
-		case len(k.waiting) > 0:
-			o := k.waiting[0]
-			k.waiting = slices.Delete(k.waiting, 0, 1)
-			if now.After(o.until) {
-				k.ends = append(k.ends, engine.LegEnd{Leg: o.leg, Outcome: rules.Unconnected})
-				continue
-			}
-			body := o.leg.Ask.Body
-			k.head = k.appendFetch(k.head, o)
-			k.body = append(body[:len(body):len(body)], newline...)
-			o.end = k.added + int64(len(k.head)+len(k.body))
-			k.open[o.leg.Ask.Ident] = o
-		default:
-			return k.out.Head()
+// more begins the next frame.
+func (k *link) more(now time.Time) bool {
+	if len(k.words) > 0 {
+		k.out.PutRaw(k.words)
+		k.words = nil
+		return true
+	}
+	for len(k.waiting) > 0 {
+		o := k.waiting[0]
+		k.waiting = slices.Delete(k.waiting, 0, 1)
+		if now.After(o.until) {
+			k.ends = append(k.ends, engine.LegEnd{Leg: o.leg, Outcome: rules.Unconnected})
+			continue
 		}
+		a := o.leg.Ask
+		o.end = k.out.Put(a.Body, []byte("fetch"), []byte(hex(a.Ident)), k.fields(o))
+		k.open[a.Ident] = o
+		return true
 	}
-	return k.out.Head()
-}
-
-// shift adds what fits and keeps the rest at the front of its place.
-func (k *link) shift(b []byte) []byte { return b[:copy(b, b[k.add(b):])] }
-
-func (k *link) add(b []byte) int {
-	n := k.out.Append(b)
-	k.added += int64(n)
-	return n
-}
-
-func (k *link) wrote(n int) {
-	k.out.Drop(n)
-	k.written += int64(n)
+	return false
 }
 
 var ways = []struct {
@@ -182,7 +149,7 @@
 	word string
 }{{rules.HowJoin, "join"}, {rules.HowHoldsOnly, "held"}, {rules.HowNoCopy, "nocopy"}, {rules.HowRenew, "renew"}}
 
-func (k *link) appendFetch(b []byte, o order) []byte {
+func (k *link) fields(o order) []byte {
 	l, a := o.leg, o.leg.Ask
 	f := make([]byte, 0, 200)
 	f = append(f, "class="...)
@@ -217,7 +184,7 @@
 		f = append(f, ",cached="...)
 		f = append(f, a.Have...)
 	}
-	return resp.AppendFrame(b, len(a.Body), []byte("fetch"), []byte(hex(a.Ident)), f)
+	return f
 }
 
 // space is where what comes next is to be read into; got says how much came.
@@ -250,88 +217,91 @@
 	"rode": rules.NoteJoined, "expired": rules.NoteStale, "turned_away": rules.NoteRefused, "cut_off": rules.NoteUnreached,
 	"not_there": rules.NoteLacks, "no_place": rules.NoteNoPlace, "far_fault": rules.NoteOriginFail}
 
+// answer takes one answer. A leg's id has 16 digits, a probe's tag fewer.
 func (k *link) answer(args [][]byte, now time.Time) error {
 	if len(args) < 2 {
 		return resp.ErrFraming
 	}
-	id, err := strconv.ParseUint(string(args[0]), 16, 64)
-	if err != nil {
-		return resp.ErrFraming
-	}
-	var fields, body []byte
-	if len(args) > 2 {
-		fields = args[2]
-	}
-	if len(args) > 3 {
-		body = args[3]
-	}
+	id, word := string(args[0]), string(args[1])
 	end := engine.LegEnd{}
-	for name, value := []byte(nil), []byte(nil); len(fields) > 0; {
-		name, value, fields = resp.Field(fields)
-		switch string(name) {
-		case "how":
-			end.Note = notes[string(value)]
-		case "slow":
-			ms, _ := strconv.ParseFloat(string(value), 64)
-			end.Waited = time.Duration(ms * float64(time.Millisecond))
-		case "stats":
-			end.Report = k.report(value)
-		}
+	if len(args) > 2 {
+		k.read(args[2], &end)
 	}
-	if len(args[0]) < 16 {
-		id, _ := strconv.ParseUint(string(args[0]), 10, 64)
-		if p, open := k.probes[id]; open {
-			delete(k.probes, id)
+	if len(id) < 16 {
+		tag, err := strconv.ParseUint(id, 10, 64)
+		if p, open := k.probes[tag]; open {
+			delete(k.probes, tag)
 			outcome := rules.Succeeded
-			if string(args[1]) == "dead" {
+			if word == "dead" {
 				outcome = rules.Errored
 			}
 			k.ends = append(k.ends, engine.Probed{Node: p.node, Outcome: outcome, Took: now.Sub(p.sent), Report: end.Report})
 		}
-		return nil
+		return err
 	}
-	o, open := k.open[id]
+	ident, err := strconv.ParseUint(id, 16, 64)
+	o, open := k.open[ident]
 	if !open {
-		delete(k.past, id)
-		return nil
+		delete(k.past, ident)
+		return err
 	}
-	outcome, known := outcomes[string(args[1])]
-	if !known {
-		outcome = rules.Errored // the least that a word to come may mean
+	delete(k.open, ident)
+	known := false
+	end.Leg, end.Same = o.leg, word == "304"
+	if end.Outcome, known = outcomes[word]; !known || end.Same && o.leg.Ask.Have == "" {
+		end.Outcome = rules.Errored // the least that a word to come, or one out of place, may mean
 	}
-	delete(k.open, id)
-	end.Leg, end.Outcome = o.leg, outcome
-	if outcome == rules.Succeeded {
-		if end.Same = string(args[1]) == "304"; !end.Same {
-			end.Body = bytes.Clone(body)
-		}
+	if word == "200" && len(args) > 3 {
+		end.Body = bytes.Clone(args[3])
 	}
 	k.ends = append(k.ends, end)
 	return nil
 }
 
-func (k *link) report(list []byte) rules.Report {
-	var r rules.Report
-	for i, column := range k.names.columns[:min(len(k.names.columns), len(r.V))] {
-		for rest := list; len(rest) > 0; {
-			var item []byte
-			item, rest, _ = bytes.Cut(rest, []byte{';'})
-			name, value, _ := bytes.Cut(item, []byte{':'})
-			if string(name) == column {
-				r.V[i], _ = strconv.ParseFloat(string(value), 64)
-				r.N = i + 1
-			}
+// read takes the fields of an answer.
+func (k *link) read(fields []byte, end *engine.LegEnd) {
+	for name, value := []byte(nil), []byte(nil); len(fields) > 0; {
+		name, value, fields = resp.Field(fields)
+		switch string(name) {
+		case "how":
+			end.Note = notes[string(value)]
+		case "slow":
+			end.Waited = settings.Span(figure(value))
+		case "stats":
+			end.Report = k.report(value)
 		}
 	}
+}
+
+// report takes the columns of a load report, up to one that is missing.
+func (k *link) report(list []byte) (r rules.Report) {
+	for _, column := range k.names.columns[:min(len(k.names.columns), len(r.V))] {
+		_, rest, found := bytes.Cut(append([]byte{';'}, list...), []byte(";"+column+":"))
+		if !found {
+			break
+		}
+		value, _, _ := bytes.Cut(rest, []byte{';'})
+		r.V[r.N] = figure(value)
+		r.N++
+	}
 	return r
 }
 
+// figure is a number, 0 where there is none.
+func figure(b []byte) float64 {
+	x, err := strconv.ParseFloat(string(b), 64)
+	if err != nil || math.IsNaN(x) {
+		return 0
+	}
+	return x
+}
+
 // over ends all that is open: the connection is no more. What was not written to its last byte has not run.
 func (k *link) over() {
 	open := slices.SortedFunc(maps.Values(k.open), func(a, b order) int { return cmp.Compare(a.end, b.end) })
 	for _, o := range append(open, k.waiting...) {
 		how := rules.Broken
-		if o.end == 0 || o.end > k.written {
+		if o.end == 0 || o.end > k.out.Written {
 			how = rules.Unconnected
 		}
 		k.ends = append(k.ends, engine.LegEnd{Leg: o.leg, Outcome: how})
--- a/internal/back/link_test.go
+++ b/internal/back/link_test.go
@@ -8,6 +8,7 @@
 
 	"fennelarch/internal/engine"
 	"fennelarch/internal/limits"
+	"fennelarch/internal/resp"
 	"fennelarch/rules"
 )
 
@@ -29,7 +30,7 @@
 		most = len(out)
 	}
 	text := string(out[:most])
-	k.wrote(most)
+	k.out.Wrote(most)
 	return text
 }
 
@@ -45,14 +46,7 @@
 	return nil
 }
 
-// frame writes an array of the strings, as the other side would.
-func frame(strs ...string) string {
-	b := fmt.Sprintf("*%d\r\n", len(strs))
-	for _, s := range strs {
-		b += fmt.Sprintf("$%d\r\n%s\r\n", len(s), s)
-	}
-	return b
-}
+func frame(words ...string) string { return string(resp.AppendWords(nil, words...)) }
 
 const ident = "00000000000000a7"
 
@@ -63,7 +57,7 @@
 	l.Ask.Have, l.Ask.Body = "4be0", []byte("a\r\nb")
 	k.send(order{leg: l, next: "s-1", until: time.Now().Add(time.Second)})
 	fmt.Printf("%q\n", k.outgoing(time.Now()))
-	k.wrote(k.out.Len())
+	k.out.Wrote(k.out.Len())
 	fmt.Printf("%q\n", k.sendAll(leg(0xa8), -1))
 	k.abort(l, time.Now())
 	k.probe(7, "stats", time.Now())
@@ -101,6 +95,7 @@
 		for _, each := range []int{1, 7, 1 << 16} {
 			k := testLink()
 			l := leg(0xa7)
+			l.Ask.Have = "copy"
 			k.sendAll(l, -1)
 			if err := k.hear(frame(ident, c.word, c.fields+",stats=x1:2.5;util:0.25", "body"), each); err != nil {
 				t.Fatalf("%s %s: %v", c.word, c.fields, err)
@@ -184,15 +179,19 @@
 	}
 }
 
+// A report counts up to a column that is missing or odd; a probe that is never answered ends with the connection.
 func TestProbes(t *testing.T) {
 	k := testLink()
 	k.probe(7, "stats", time.Now())
 	k.probe(8, "alive", time.Now())
 	k.probe(9, "stats", time.Now())
 	k.sendAll(leg(0xa7), -1)
-	if err := k.hear(frame("1", "alive", "stats=util:0.5")+frame("2", "dead", "-")+frame("2", "alive", "-"), 3); err != nil {
+	if err := k.hear(frame("1", "alive", "stats=util:0.5;x2:1")+frame("2", "dead", "-")+frame("2", "alive", "-"), 3); err != nil {
 		t.Fatal(err)
 	}
+	if ends := k.hear(frame(ident, "304", "-"), 100); ends != nil || k.ends[len(k.ends)-1].(engine.LegEnd).Outcome != rules.Errored {
+		t.Error("the client's copy is the one, yet it holds none")
+	}
 	k.over()
 	var got []string
 	for _, e := range k.take() {
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -281,7 +281,7 @@
 			_ = up.SetWriteDeadline(now.Add(c.pool.limits.Stuck))
 			n, err := up.Write(out)
 			c.mu.Lock()
-			c.link.wrote(n)
+			c.link.out.Wrote(n)
 			c.used = now
 			c.mu.Unlock()
 			if err != nil {
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -48,7 +48,7 @@
 	Cell   int     `json:"pod_group"`
 	State  string  `json:"state"`
 	Weight float64 `json:"capacity_hint"`
-	Boot   int64   `json:"boot_ms"`
+	Boot   float64 `json:"boot_ms"`
 }
 
 type recall struct {
@@ -91,7 +91,7 @@
 		if it.No <= f.last {
 			continue
 		}
-		if it.No != f.last+1 && it.No != f.gap {
+		if it.No != f.last+1 && it.No != f.gap && f.last > 0 {
 			f.log.Warn("bulletin has a gap", zap.Int64("after", f.last), zap.Int64("next", it.No))
 			f.gap = it.No
 			return nil
@@ -123,7 +123,7 @@
 			n := engine.Node{UID: t.UID, Address: t.Addr, Member: rules.Member{Node: NodeID(t.UID), State: state,
 				Kind: rules.KindID(kind), Zone: rules.ZoneID(zone), Cell: rules.CellID(t.Cell), Weight: t.Weight}}
 			if t.Boot > 0 {
-				n.Boot = time.UnixMilli(t.Boot).UTC()
+				n.Boot = time.UnixMilli(int64(t.Boot)).UTC()
 			}
 			l.Nodes = append(l.Nodes, n)
 		}
@@ -148,18 +148,23 @@
 	pass := func(what any) { post(time.Now(), what) }
 	wait, silent := f.limits.Again, false
 	for ctx.Err() == nil {
+		begun, last := time.Now(), f.last
 		err := f.poll(ctx, client, address, pass)
-		if err == nil {
+		switch {
+		case err == nil:
 			if silent {
 				f.log.Info("bulletin is back", zap.Int64("no", f.last))
 			}
-			wait, silent = f.limits.Again, false
-			continue
-		}
-		if !silent && ctx.Err() == nil {
+			silent = false
+			if f.last > last || time.Since(begun) > f.limits.Again {
+				wait = f.limits.Again
+				continue
+			}
+			// It brought nothing and did not wait either: no use in asking without a pause.
+		case !silent && ctx.Err() == nil:
 			f.log.Warn("bulletin cannot be read", zap.Error(err))
+			silent = true
 		}
-		silent = true
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait/2 + rand.N(wait)):
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -63,10 +63,12 @@
 	server *Server
 }
 
-// Accept never waits on anything but the network. Where there are too many connections, one that rests makes room.
+// Accept never waits on anything but the network. Where there are too many connections, one that rests makes room, or
+// else the new one is closed.
 func (l listener) Accept() (net.Conn, error) {
 	up, err := l.Listener.Accept()
 	if err != nil {
+		time.Sleep(l.server.shared.limits.Pause) // redcon asks again at once
 		return nil, err
 	}
 	c := &conn{Conn: up, server: l.server}
@@ -74,21 +76,22 @@
 	c.session = newSession(&l.server.shared, c)
 	s := l.server
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.shared.limits.Clients {
+		_ = s.resting(c).Conn.Close()
+	}
 	s.conns[c] = true
-	var rests *conn
-	if len(s.conns) > s.shared.limits.Clients {
-		for o := range s.conns {
-			if o != c && o.rests() {
-				rests = o
-				break
-			}
+	return c, nil
+}
+
+// resting is a connection on which nothing is open or to be written, or the one given.
+func (s *Server) resting(c *conn) *conn {
+	for o := range s.conns {
+		if o.rests() {
+			return o
 		}
 	}
-	s.mu.Unlock()
-	if rests != nil {
-		_ = rests.Conn.Close()
-	}
-	return c, nil
+	return c
 }
 
 // conn is one client connection.
@@ -210,7 +213,8 @@
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.server.shared.limits.Stuck))
 		n, err := c.Conn.Write(out)
 		c.mu.Lock()
-		if c.session.wrote(n); err != nil {
+		c.session.out.Wrote(n)
+		if err != nil {
 			c.session.over()
 		}
 		c.unlock()
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -36,12 +36,11 @@
 	client engine.Client
 	in     resp.Ring
 	dec    resp.Decoder
-	out    resp.Ring
+	out    resp.Writer
 
 	open    map[uint64]rules.ViewID // by tag
 	waiting []answer                // nothing of them is in the stream
-	head    []byte                  // of the frame that is being put into the stream
-	body    []byte                  // its rest
+	putting int64                   // length of the body that is being put into the stream
 	closed  bool
 	events  []any // *engine.Ask and engine.Gone, to be taken by the driver
 }
@@ -55,7 +54,7 @@
 
 func newSession(s *shared, client engine.Client) *session {
 	l := &s.limits
-	return &session{shared: s, client: client, in: resp.Ring{Bound: l.ClientIn}, out: resp.Ring{Bound: l.ClientOut},
+	return &session{shared: s, client: client, in: resp.Ring{Bound: l.ClientIn}, out: resp.Writer{Ring: resp.Ring{Bound: l.ClientOut}},
 		dec:  resp.Decoder{Args: l.Strings, Size: l.ClientIn - 2*l.Fields, Most: l.ClientIn},
 		open: map[uint64]rules.ViewID{}}
 }
@@ -235,39 +234,26 @@
 	s.say(w)
 }
 
-var newline = []byte("\r\n")
+// outgoing is what is to be written next.
+func (s *session) outgoing() []byte { return s.out.Next(s.more) }
 
-// outgoing is what is to be written next; wrote says how much of it the kernel took.
-func (s *session) outgoing() []byte {
-	for s.out.Room() > 0 {
-		switch {
-		case len(s.head) > 0:
-			s.head = s.head[s.out.Append(s.head):]
-		case len(s.body) > 0:
-			n := s.out.Append(s.body)
-			s.shared.held.Add(-int64(n))
-			if s.body = s.body[n:]; len(s.body) == 0 {
-				s.body, s.head = nil, newline
-			}
-		case len(s.waiting) > 0:
-			w := s.waiting[0]
-			s.waiting = slices.Delete(s.waiting, 0, 1)
-			s.head = resp.AppendFrame(nil, len(w.body), []byte(w.tag), []byte(w.word), []byte(w.fields))
-			if s.body = w.body; len(s.body) == 0 {
-				s.head = append(s.head, newline...)
-			}
-		default:
-			return s.out.Head()
-		}
+// more begins the next answer; the body of the last one is in.
+func (s *session) more() bool {
+	s.shared.held.Add(-s.putting)
+	s.putting = 0
+	if len(s.waiting) == 0 {
+		return false
 	}
-	return s.out.Head()
+	w := s.waiting[0]
+	s.waiting = slices.Delete(s.waiting, 0, 1)
+	s.out.Put(w.body, []byte(w.tag), []byte(w.word), []byte(w.fields))
+	s.putting = int64(len(w.body))
+	return true
 }
 
-func (s *session) wrote(n int) { s.out.Drop(n) }
-
 // idle says whether nothing is open and nothing waits to be written.
 func (s *session) idle() bool {
-	return s.closed || len(s.open) == 0 && len(s.waiting) == 0 && len(s.head) == 0 && len(s.body) == 0 && s.out.Len() == 0
+	return s.closed || len(s.open) == 0 && len(s.waiting) == 0 && s.out.Empty()
 }
 
 // over gives up all that is open: the connection is no more.
@@ -277,12 +263,11 @@
 		s.events = append(s.events, engine.Gone{View: s.open[tag]})
 	}
 	clear(s.open)
-	held := len(s.body)
 	for _, w := range s.waiting {
-		held += len(w.body)
+		s.putting += int64(len(w.body))
 	}
-	s.shared.held.Add(-int64(held))
-	s.head, s.body, s.waiting = nil, nil, nil
+	s.shared.held.Add(-s.putting)
+	s.waiting, s.putting = nil, 0
 }
 
 // rest gives memory back while nothing is to be done, and says whether the connection may be closed.
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -9,6 +9,7 @@
 
 	"fennelarch/internal/engine"
 	"fennelarch/internal/limits"
+	"fennelarch/internal/resp"
 	"fennelarch/rules"
 )
 
@@ -18,13 +19,7 @@
 	return newSession(s, nil)
 }
 
-func frame(strs ...string) string {
-	b := fmt.Sprintf("*%d\r\n", len(strs))
-	for _, s := range strs {
-		b += fmt.Sprintf("$%d\r\n%s\r\n", len(s), s)
-	}
-	return b
-}
+func frame(words ...string) string { return string(resp.AppendWords(nil, words...)) }
 
 const asked = "req=9b1f03aa5c7e2d41,timeout=1500,subject=7f3a9c21e0b4d655,piece=3,lot=17,need=412.5,ver=4be0c1927d55a6f3"
 
@@ -68,7 +63,7 @@
 			break
 		}
 		all += string(out)
-		s.wrote(len(out))
+		s.out.Wrote(len(out))
 	}
 	for part := range strings.SplitSeq(all, "*4\r\n") {
 		if w := strings.Split(part, "\r\n"); len(w) > 7 {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -45,6 +45,7 @@
 	Silent    time.Duration // until a poll is given up
 	Again     time.Duration // the first wait after a failed poll; it doubles
 	Late      time.Duration // the longest such wait
+	Pause     time.Duration // after a failed accept
 	Linger    time.Duration // how long new views come after the order to stop
 	Stop      time.Duration // until the last view has its answer after it
 	Flush     time.Duration // and until the last answer is written
@@ -85,6 +86,7 @@
 		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 15 * time.Second, Stuck: 5 * time.Second,
 		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
 		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
+		Pause: 5 * time.Millisecond,
 		// The platform kills a router no sooner than the longest hard limit, or 3 s if that is less, and 0.7 s more.
 		Linger: 700 * time.Millisecond, Stop: min(t.LongestHard, 3*time.Second) + 450*time.Millisecond,
 		Flush: 150 * time.Millisecond, Summary: 5 * time.Second,
--- a/internal/resp/frame.go
+++ b/internal/resp/frame.go
@@ -105,14 +105,71 @@
 	return name, value, rest
 }
 
-// AppendFrame adds an array of strings but for its last one, of which only the head is added: a body may follow in
-// parts, and then CR and LF.
-func AppendFrame(b []byte, body int, args ...[]byte) []byte {
-	b = redcon.AppendArray(b, len(args)+1)
+// AppendWords adds an array of strings.
+func AppendWords(b []byte, words ...string) []byte {
+	b = redcon.AppendArray(b, len(words))
+	for _, w := range words {
+		b = redcon.AppendBulkString(b, w)
+	}
+	return b
+}
+
+// Writer puts frames into a ring in parts, as there is room, and keeps account of the stream.
+type Writer struct {
+	Ring
+	Written int64 // bytes that were taken so far
+	added   int64
+	head    []byte
+	rest    [3][]byte // of the frame that is being put in: its head, its body, its end
+}
+
+var newline = []byte("\r\n")
+
+// Put begins a frame with a body as its last string, and returns the place in the stream at which it ends. The body is
+// lent until the frame is in.
+func (w *Writer) Put(body []byte, args ...[]byte) (end int64) {
+	b := redcon.AppendArray(w.head[:0], len(args)+1)
 	for _, a := range args {
 		b = redcon.AppendBulk(b, a)
 	}
 	b = append(b, '$')
-	b = strconv.AppendInt(b, int64(body), 10)
-	return append(b, '\r', '\n')
+	b = strconv.AppendInt(b, int64(len(body)), 10)
+	w.head = append(b, newline...)
+	w.rest = [3][]byte{w.head, body, newline}
+	return w.added + int64(len(w.head)+len(body)+len(newline))
+}
+
+// PutRaw begins what is framed already; it is lent too.
+func (w *Writer) PutRaw(b []byte) { w.rest = [3][]byte{b} }
+
+// Next is what is to be written next. Whenever a frame is in, more is asked to begin another one, and says whether it did.
+func (w *Writer) Next(more func() bool) []byte {
+	for w.Room() > 0 {
+		part := &w.rest[0]
+		for i := 1; i < len(w.rest) && len(*part) == 0; i++ {
+			part = &w.rest[i]
+		}
+		if len(*part) == 0 {
+			w.rest = [3][]byte{}
+			if !more() {
+				break
+			}
+			continue
+		}
+		n := w.Append(*part)
+		w.added += int64(n)
+		*part = (*part)[n:]
+	}
+	return w.Head()
+}
+
+// Wrote says how much of it was taken.
+func (w *Writer) Wrote(n int) {
+	w.Drop(n)
+	w.Written += int64(n)
+}
+
+// Empty says whether all that was begun has been taken.
+func (w *Writer) Empty() bool {
+	return w.Written == w.added && len(w.rest[0])+len(w.rest[1])+len(w.rest[2]) == 0
 }
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -89,14 +89,12 @@
 		name, value, rest = Field(rest)
 		fmt.Printf("%s:%s\n", name, value)
 	}
-	fmt.Printf("%q\n", AppendFrame(nil, 3, []byte("7"), []byte("OK"), nil))
 	// Output:
 	// how:local
 	// slow:1.5
 	// :
 	// bare:
 	// a:b=c
-	// "*4\r\n$1\r\n7\r\n$2\r\nOK\r\n$0\r\n\r\n$3\r\n"
 }
 
 // A ring keeps to its bound, gives bytes out in order, and gives its memory back.
@@ -125,6 +123,36 @@
 	}
 }
 
+// Frames go through a small ring in parts, and each knows where in the stream it ends.
+func TestWriter(t *testing.T) {
+	w := Writer{Ring: Ring{Bound: 7}}
+	frames := [][]string{{"7", "OK", "", strings.Repeat("x", 30)}, {"8", "FAILED", "", ""}}
+	var want, got string
+	more := func() bool {
+		if len(frames) == 0 {
+			return false
+		}
+		f := frames[0]
+		frames = frames[1:]
+		want += string(AppendWords(nil, f...))
+		if end := w.Put([]byte(f[3]), []byte(f[0]), []byte(f[1]), []byte(f[2])); int(end) != len(want) {
+			t.Errorf("ends at %d, not %d", end, len(want))
+		}
+		return true
+	}
+	for out := w.Next(more); len(out) > 0; out = w.Next(more) {
+		if w.Empty() || len(out) > 7 {
+			t.Fatalf("%d bytes to be written", len(out))
+		}
+		n := min(3, len(out))
+		got += string(out[:n])
+		w.Wrote(n)
+	}
+	if got != want || !w.Empty() || int(w.Written) != len(want) {
+		t.Errorf("%q, not %q", got, want)
+	}
+}
+
 // FuzzDecoder: no stream may crash it, and a cut changes nothing.
 func FuzzDecoder(f *testing.F) {
 	f.Add(small, 5)
