--- a/cmd/fennelarch/main.go
+++ b/cmd/fennelarch/main.go
@@ -12,6 +12,9 @@
 	"fennelarch/internal/settings"
 )
 
+// version is the release; the revision is added where the build knows it.
+const version = "0.1.0"
+
 type serveCmd struct{}
 
 type checkCmd struct{}
@@ -37,14 +40,16 @@
 }
 
 func (versionCmd) Run() error {
-	info, _ := debug.ReadBuildInfo()
-	version := "unknown"
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			version = s.Value
+	fmt.Print("fennelarch ", version)
+	if info, known := debug.ReadBuildInfo(); known {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				fmt.Print(" ", s.Value)
+			}
 		}
+		fmt.Print(" ", info.GoVersion)
 	}
-	fmt.Println("fennelarch", version, info.GoVersion)
+	fmt.Println()
 	return nil
 }
 
--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -59,12 +59,12 @@
 		return fmt.Errorf("configuration: known: %w", err)
 	}
 
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	done := make(chan struct{}) // never: the engine answers to the last
 	go eng.Run(done, lim.Summary, func(n engine.Counts) { summary(log, n, server.Count(), pool.Count()) })
 	go follower.Run(context.Background(), c.Bulletin, post)
--- /dev/null
+++ b/internal/front/server_test.go
@@ -0,0 +1,56 @@
+package front
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"fennelarch/internal/limits"
+	"fennelarch/internal/settings"
+	"fennelarch/rules"
+)
+
+// Clients that only sit there make room for those that come; where all are busy, the new one is closed. What is in
+// hand goes on.
+func TestTooManyClients(t *testing.T) {
+	l := limits.From(limits.Told{MemoryMB: 64, Sockets: 256, Streams: 100})
+	l.Clients, l.Rest = 3, 200*time.Millisecond
+	s := New(l, settings.Names{Tariffs: []string{"clip"}}, []rules.Tariff{{}}, func(time.Time, any) {})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() { _ = s.Serve(ln) }()
+	ask := func(text string) (conn net.Conn, answer string) {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_, _ = conn.Write([]byte(text))
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		got := make([]byte, 100)
+		n, _ := conn.Read(got)
+		return conn, string(got[:n])
+	}
+	up := frame("1", "UP", "", "")
+	for range 10 {
+		if _, got := ask(frame("PING", "1")); got != up {
+			t.Fatalf("%q", got)
+		}
+	}
+	for range 3 { // busy from now on: a view is open on each
+		if _, got := ask(frame("PING", "1") + do(2, "")); got != up {
+			t.Fatalf("%q", got)
+		}
+	}
+	if _, got := ask(frame("PING", "1")); got != "" {
+		t.Errorf("a fourth busy client got %q", got)
+	}
+	for end := time.Now().Add(10 * time.Second); s.Count() > 3 || s.busy.Load() != 3; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections, %d busy", s.Count(), s.busy.Load())
+		}
+	}
+}
