Tags and idents have types of their own; a connection that ends at the moment of a send costs no leg

Seen on a read: Pool.Send reported a leg as not connected when its connection was closed as idle between the choice and the send, which the module counts against the node. It looks for another connection now. The last two bounds outside the limits type (the pause at the end, the wait for the log) moved there.

--- a/cmd/fennelarch/log.go
+++ b/cmd/fennelarch/log.go
@@ -13,9 +13,6 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// flushFor bounds the wait for the last lines at the end.
-const flushFor = 100 * time.Millisecond
-
 type lines struct {
 	queue chan []byte
 	lost  atomic.Int64
@@ -45,20 +42,20 @@
 	}
 }
 
-// flush waits a little until the lines so far are out.
-func (l *lines) flush() {
-	for end := time.Now().Add(flushFor); l.done.Load() < l.taken.Load() && time.Now().Before(end); {
+// flush waits until the lines so far are out, but no longer than so.
+func (l *lines) flush(long time.Duration) {
+	for end := time.Now().Add(long); l.done.Load() < l.taken.Load() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 }
 
 // newLog returns a log that keeps at most so many lines waiting, and what writes the last of them.
-func newLog(queue int) (*zap.Logger, func()) {
+func newLog(queue int, flush time.Duration) (*zap.Logger, func()) {
 	l := &lines{queue: make(chan []byte, queue)}
 	go l.run()
 	conf := zap.NewProductionEncoderConfig()
 	conf.EncodeTime = zapcore.ISO8601TimeEncoder
 	conf.EncodeDuration = zapcore.StringDurationEncoder
 	core := zapcore.NewCore(zapcore.NewConsoleEncoder(conf), l, zapcore.InfoLevel)
-	return zap.New(core), l.flush
+	return zap.New(core), func() { l.flush(flush) }
 }
--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -37,7 +37,7 @@
 	runtime.GOMAXPROCS(int(math.Ceil(lim.Cores)))
 	debug.SetMemoryLimit(lim.Memory * 3 / 4)
 
-	log, flush := newLog(lim.Lines)
+	log, flush := newLog(lim.Lines, lim.Flush)
 	defer flush()
 	log = log.With(zap.String("router", c.Name))
 
@@ -77,15 +77,12 @@
 	begun := time.Now()
 	eng.Post(begun, engine.Stop{After: lim.Stop})
 	for time.Since(begun) < lim.Linger || (eng.Open() > 0 || !server.Quiet()) && time.Since(begun) < lim.Stop+lim.Flush {
-		time.Sleep(pause)
+		time.Sleep(lim.Pause)
 	}
 	log.Info("stopped", zap.Int("open", eng.Open()))
 	return nil
 }
 
-// pause is how often it is looked whether all is answered.
-const pause = 5 * time.Millisecond
-
 func summary(log *zap.Logger, n engine.Counts, clients, nodes int) {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/internal/back/link.go
+++ b/internal/back/link.go
@@ -47,22 +47,22 @@
 	dec    resp.Decoder
 	out    resp.Writer
 
-	waiting []order              // nothing of them is in the stream
-	open    map[uint64]order     // by the id of the view
-	past    map[uint64]time.Time // when given up: a late answer may still come
-	probes  map[uint64]asked     // by tag
-	tag     uint64               // last one used
-	words   []byte               // aborts and probes to come
-	heard   int                  // reads
-	doubt   bool                 // a leg was given up of which nothing was heard, nor anything since
-	ends    []any                // engine.LegEnd and engine.Probed, to be taken by the driver
+	waiting []order                    // nothing of them is in the stream
+	open    map[engine.Ident]order     // by the id of the view
+	past    map[engine.Ident]time.Time // when given up: a late answer may still come
+	probes  map[uint64]asked           // by tag
+	tag     uint64                     // last one used
+	words   []byte                     // aborts and probes to come
+	heard   int                        // reads
+	doubt   bool                       // a leg was given up of which nothing was heard, nor anything since
+	ends    []any                      // engine.LegEnd and engine.Probed, to be taken by the driver
 }
 
 func newLink(l *limits.Limits, n *names) *link {
 	most := l.Object + 8*l.Fields
 	return &link{limits: l, names: n, in: resp.Ring{Bound: l.NodeIn}, out: resp.Writer{Ring: resp.Ring{Bound: l.NodeOut}},
 		dec:  resp.Decoder{Args: l.Strings, Size: l.Object, Most: min(most, l.NodeIn)},
-		open: map[uint64]order{}, past: map[uint64]time.Time{}, probes: map[uint64]asked{}}
+		open: map[engine.Ident]order{}, past: map[engine.Ident]time.Time{}, probes: map[uint64]asked{}}
 }
 
 // busy is how many legs the connection has.
@@ -100,8 +100,8 @@
 	if o, open := k.open[id]; open && o.leg == l {
 		delete(k.open, id)
 		k.doubt = k.doubt || o.heard == k.heard
-		k.words = resp.AppendWords(k.words, "abort", hex(id))
-		maps.DeleteFunc(k.past, func(_ uint64, at time.Time) bool { return now.Sub(at) > k.limits.Forget })
+		k.words = resp.AppendWords(k.words, "abort", hex(uint64(id)))
+		maps.DeleteFunc(k.past, func(_ engine.Ident, at time.Time) bool { return now.Sub(at) > k.limits.Forget })
 		k.past[id] = now
 	}
 	return true
@@ -137,7 +137,7 @@
 			continue
 		}
 		a := o.leg.Ask
-		o.end = k.out.Put(a.Body, []byte("fetch"), []byte(hex(a.Ident)), k.fields(o))
+		o.end = k.out.Put(a.Body, []byte("fetch"), []byte(hex(uint64(a.Ident))), k.fields(o))
 		k.open[a.Ident] = o
 		return true
 	}
@@ -239,7 +239,8 @@
 		}
 		return err
 	}
-	ident, err := strconv.ParseUint(id, 16, 64)
+	number, err := strconv.ParseUint(id, 16, 64)
+	ident := engine.Ident(number)
 	o, open := k.open[ident]
 	if !open {
 		delete(k.past, ident)
@@ -309,7 +310,7 @@
 	for _, tag := range slices.Sorted(maps.Keys(k.probes)) {
 		k.ends = append(k.ends, engine.Probed{Node: k.probes[tag].node, Outcome: rules.Unconnected})
 	}
-	k.waiting, k.open, k.probes = nil, map[uint64]order{}, map[uint64]asked{}
+	k.waiting, k.open, k.probes = nil, map[engine.Ident]order{}, map[uint64]asked{}
 }
 
 // take hands over what ended.
--- a/internal/back/link_test.go
+++ b/internal/back/link_test.go
@@ -18,7 +18,7 @@
 	return newLink(&bounds, &names{tariffs: []string{"clip", "signoff"}, columns: []string{"util", "x1"}})
 }
 
-func leg(ident uint64) *engine.Leg {
+func leg(ident engine.Ident) *engine.Leg {
 	return &engine.Leg{Ask: &engine.Ask{Ident: ident, Object: 0xbeef, Part: 3}, Wait: 1500 * time.Millisecond}
 }
 
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -123,27 +123,35 @@
 	}
 }
 
-// Send puts a leg on a connection to its node.
+// Send puts a leg on a connection to its node. One that ends at this moment is no reason to fail: there may be another.
 func (p *Pool) Send(l *engine.Leg) {
 	now := time.Now()
-	p.mu.Lock()
-	c, order := p.place(l, now)
-	p.mu.Unlock()
-	if c != nil {
-		c.mu.Lock()
-		fits := !c.over
-		if fits {
-			l.Carrier = c
-			c.link.send(order)
+	for range 2 {
+		p.mu.Lock()
+		c, o := p.place(l, now)
+		p.mu.Unlock()
+		if c == nil {
+			break
 		}
-		c.mu.Unlock()
-		if c.stir(); fits {
+		if c.send(o) {
 			return
 		}
 	}
 	go p.post(now, engine.LegEnd{Leg: l, Outcome: rules.Unconnected}) // the caller must not wait
 }
 
+func (c *conn) send(o order) bool {
+	c.mu.Lock()
+	defer c.stir()
+	defer c.mu.Unlock()
+	if c.over {
+		return false
+	}
+	o.leg.Carrier = c
+	c.link.send(o)
+	return true
+}
+
 // place finds the connection for a leg. To a node, or from a source, that is told to leave, it must be on its way soon.
 func (p *Pool) place(l *engine.Leg, now time.Time) (*conn, order) {
 	o := order{leg: l, until: now.Add(p.limits.Begin)}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -14,13 +14,19 @@
 	"fennelarch/rules"
 )
 
+// Tag is a client's name for a view on its connection, Ident its id everywhere.
+type (
+	Tag   uint64
+	Ident uint64
+)
+
 // Ask is a view as a client brings it.
 type Ask struct {
 	View   rules.ViewID
 	Client Client
-	Tag    uint64 // the client's name for it
+	Tag    Tag
 
-	Ident  uint64 // goes on unchanged, as do object, part and body
+	Ident  Ident // goes on unchanged, as do object, part and body
 	Tariff rules.TariffID
 	Object rules.ObjectID
 	Group  rules.GroupID
@@ -36,7 +42,7 @@
 
 // Client takes the one final answer of a view. It must not block.
 type Client interface {
-	Answer(tag uint64, a Answer)
+	Answer(tag Tag, a Answer)
 }
 
 // Verdict is the kind of a final answer.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -51,7 +51,7 @@
 }
 
 func (r *rig) view(id rules.ViewID, tariff rules.TariffID, left time.Duration) {
-	r.tell(&Ask{View: id, Client: r, Tag: uint64(id), Tariff: tariff, Write: tariff == 1, Object: 7, KB: 100, Left: left,
+	r.tell(&Ask{View: id, Client: r, Tag: Tag(id), Tariff: tariff, Write: tariff == 1, Object: 7, KB: 100, Left: left,
 		At: r.start.Add(r.at)})
 }
 
@@ -66,7 +66,7 @@
 	}
 }
 
-func (r *rig) Answer(tag uint64, a Answer) {
+func (r *rig) Answer(tag Tag, a Answer) {
 	r.say("view %d: %s, %d bytes", tag, [...]string{"succeeded", "turned back", "terminated"}[a.Verdict], len(a.Body))
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -120,7 +120,7 @@
 }
 
 // Answer takes the final answer of a view.
-func (c *conn) Answer(tag uint64, a engine.Answer) {
+func (c *conn) Answer(tag engine.Tag, a engine.Answer) {
 	c.mu.Lock()
 	c.session.answer(tag, a)
 	c.unlock()
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -38,9 +38,9 @@
 	dec    resp.Decoder
 	out    resp.Writer
 
-	open    map[uint64]rules.ViewID // by tag
-	waiting []answer                // nothing of them is in the stream
-	putting int64                   // length of the body that is being put into the stream
+	open    map[engine.Tag]rules.ViewID // by tag
+	waiting []answer                    // nothing of them is in the stream
+	putting int64                       // length of the body that is being put into the stream
 	closed  bool
 	events  []any // *engine.Ask and engine.Gone, to be taken by the driver
 }
@@ -56,7 +56,7 @@
 	l := &s.limits
 	return &session{shared: s, client: client, in: resp.Ring{Bound: l.ClientIn}, out: resp.Writer{Ring: resp.Ring{Bound: l.ClientOut}},
 		dec:  resp.Decoder{Args: l.Strings, Size: l.ClientIn - 2*l.Fields, Most: l.ClientIn},
-		open: map[uint64]rules.ViewID{}}
+		open: map[engine.Tag]rules.ViewID{}}
 }
 
 // space is where what comes next is to be read into; got says how much came and when.
@@ -85,7 +85,8 @@
 	if len(args) < 2 || len(args[1]) > s.shared.limits.Fields {
 		return resp.ErrFraming
 	}
-	tag, err := strconv.ParseUint(string(args[1]), 10, 64)
+	number, err := strconv.ParseUint(string(args[1]), 10, 64)
+	tag := engine.Tag(number)
 	if err != nil || tag == 0 {
 		s.say(answer{tag: string(args[1]), word: "FAILED"})
 		return nil
@@ -116,13 +117,13 @@
 }
 
 // undo gives a view up; an answer of which nothing is in the stream yet is taken back.
-func (s *session) undo(tag uint64) {
+func (s *session) undo(tag engine.Tag) {
 	if view, open := s.open[tag]; open {
 		delete(s.open, tag)
 		s.events = append(s.events, engine.Gone{View: view})
 		return
 	}
-	text := strconv.FormatUint(tag, 10)
+	text := strconv.FormatUint(uint64(tag), 10)
 	s.waiting = slices.DeleteFunc(s.waiting, func(w answer) bool {
 		if w.tag == text {
 			s.shared.held.Add(-int64(len(w.body)))
@@ -148,8 +149,9 @@
 		name, value, rest = resp.Field(rest)
 		switch string(name) {
 		case "req":
-			a.Ident, ident = id(value)
-			ok = ident
+			var n uint64
+			n, ident = id(value)
+			a.Ident, ok = engine.Ident(n), ident
 		case "timeout":
 			var ms uint64
 			ms, ok = number(value, math.MaxInt32)
@@ -213,12 +215,12 @@
 }
 
 // answer adds the final answer of a view, unless the client has given it up. One for which there is no memory fails.
-func (s *session) answer(tag uint64, a engine.Answer) {
+func (s *session) answer(tag engine.Tag, a engine.Answer) {
 	if _, open := s.open[tag]; !open {
 		return
 	}
 	delete(s.open, tag)
-	w := answer{tag: strconv.FormatUint(tag, 10), word: "FAILED"}
+	w := answer{tag: strconv.FormatUint(uint64(tag), 10), word: "FAILED"}
 	switch {
 	case a.Verdict == engine.Succeeded && a.Unchanged:
 		w.word, w.fields = "OK", "unchanged=1"
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -169,7 +169,7 @@
 		if err := s.got(copy(s.space(), do(tag+1, "")), time.Time{}); err != nil {
 			t.Fatal(err)
 		}
-		s.answer(uint64(tag+1), engine.Answer{Body: make([]byte, 100_000)})
+		s.answer(engine.Tag(tag+1), engine.Answer{Body: make([]byte, 100_000)})
 		s.outgoing()
 	}
 	if l := s.shared.limits; s.shared.held.Load() > l.Answers || s.out.Len() > l.ClientOut {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -45,10 +45,10 @@
 	Silent    time.Duration // until a poll is given up
 	Again     time.Duration // the first wait after a failed poll; it doubles
 	Late      time.Duration // the longest such wait
-	Pause     time.Duration // after a failed accept
+	Pause     time.Duration // between two looks at what has to be tried or awaited
 	Linger    time.Duration // how long new views come after the order to stop
 	Stop      time.Duration // until the last view has its answer after it
-	Flush     time.Duration // and until the last answer is written
+	Flush     time.Duration // and until the last answer, or line of the log, is written
 	Summary   time.Duration // between two summary lines
 }
 
@@ -76,6 +76,9 @@
 	if t.Purge > 0 {
 		grace = min(grace, t.Purge)
 	}
+	if grace <= 0 {
+		grace = 2 * t.Connect
+	}
 	return Limits{
 		Cores: t.Cores, Memory: int64(t.MemoryMB) << 20, Sockets: t.Sockets,
 		Clients: t.Sockets * 2 / 5, Nodes: t.Sockets / 4, NodeConns: max(4, 128/streams), Streams: streams,
