--- /dev/null
+++ b/internal/back/pool_test.go
@@ -0,0 +1,218 @@
+package back
+
+import (
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+	"go.uber.org/zap"
+
+	"fennelarch/internal/engine"
+	"fennelarch/internal/limits"
+	"fennelarch/internal/settings"
+	"fennelarch/rules"
+)
+
+// stand is a node that answers only while it is told to, and counts its connections.
+type stand struct {
+	net.Listener
+	conns  chan net.Conn
+	asked  chan string
+	answer chan bool
+}
+
+func newStand(t *testing.T) *stand {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &stand{Listener: ln, conns: make(chan net.Conn, 100), asked: make(chan string, 100), answer: make(chan bool, 100)}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.conns <- c
+			go func() {
+				for r := redcon.NewReader(c); ; {
+					cmd, err := r.ReadCommand()
+					if err != nil {
+						_ = c.Close()
+						return
+					}
+					s.asked <- string(cmd.Args[0])
+					if string(cmd.Args[0]) == "fetch" && <-s.answer {
+						_, _ = c.Write([]byte(frame(string(cmd.Args[1]), "200", "-", "bytes")))
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+// rig is a pool whose ends come by a channel.
+type rig struct {
+	*Pool
+	t    *testing.T
+	ends chan engine.LegEnd
+}
+
+func newRig(t *testing.T, change func(*limits.Limits)) *rig {
+	l := bounds
+	l.Connect = 300 * time.Millisecond
+	if change != nil {
+		change(&l)
+	}
+	r := &rig{t: t, ends: make(chan engine.LegEnd, 100)}
+	r.Pool = New(l, settings.Names{Tariffs: []string{"clip"}}, false, func(_ time.Time, what any) {
+		if end, leg := what.(engine.LegEnd); leg {
+			r.ends <- end
+		}
+	}, zap.NewNop())
+	return r
+}
+
+func (r *rig) list(id rules.NodeID, s rules.State, address string) {
+	r.Learn([]engine.Node{{Member: rules.Member{Node: id, State: s}, UID: "s", Address: address}}, false)
+}
+
+func (r *rig) send(ident engine.Ident, node rules.NodeID) *engine.Leg {
+	l := leg(ident)
+	l.Node = node
+	r.Send(l)
+	return l
+}
+
+func (r *rig) end(want rules.Outcome, l *engine.Leg) {
+	r.t.Helper()
+	select {
+	case end := <-r.ends:
+		if end.Leg != l || end.Outcome != want {
+			r.t.Fatalf("leg %x ended with %d, not %x with %d", end.Leg.Ask.Ident, end.Outcome, l.Ask.Ident, want)
+		}
+	case <-time.After(10 * time.Second):
+		r.t.Fatal("no end")
+	}
+}
+
+func next[T any](t *testing.T, c chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(10 * time.Second):
+		t.Fatal("in vain")
+	}
+	return v
+}
+
+// A machine that says nothing to a new connection holds up nobody else, and its leg did not run.
+func TestConnectionThatNeverComes(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "deaf")
+	defer file.Close()
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	f, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	for { // until its queue is full
+		c, err := net.DialTimeout("tcp", f.Addr().String(), 200*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	other := newStand(t)
+	r := newRig(t, nil)
+	r.list(1, rules.Ready, f.Addr().String())
+	r.list(2, rules.Ready, other.Addr().String())
+	deaf, fine := r.send(1, 1), r.send(2, 2)
+	other.answer <- true
+	r.end(rules.Succeeded, fine)
+	r.end(rules.Unconnected, deaf)
+}
+
+// A connection on which a leg was given up in silence is not trusted with the next; the same one is, once it is heard of.
+func TestSilentConnection(t *testing.T) {
+	s := newStand(t)
+	r := newRig(t, nil)
+	r.list(1, rules.Ready, s.Addr().String())
+	first := r.send(1, 1)
+	next(t, s.asked)
+	if !r.Abort(first) {
+		t.Error("it may have run")
+	}
+	second := r.send(2, 1)
+	if next(t, s.conns) == next(t, s.conns) {
+		t.Error("the silent connection was used again")
+	}
+	s.answer <- false // to the first
+	s.answer <- true
+	r.end(rules.Succeeded, second)
+	third := r.send(3, 1)
+	s.answer <- true
+	r.end(rules.Succeeded, third)
+	if r.Count() > 2 || len(s.conns) > 0 {
+		t.Errorf("%d connections, %d more", r.Count(), len(s.conns))
+	}
+}
+
+// What was open on a connection to a node whose address another has now ends, and may have run.
+func TestAddressUsedAgain(t *testing.T) {
+	s := newStand(t)
+	r := newRig(t, nil)
+	r.list(1, rules.Ready, s.Addr().String())
+	l := r.send(1, 1)
+	next(t, s.asked)
+	r.list(1, rules.Gone, s.Addr().String())
+	r.list(2, rules.Ready, s.Addr().String())
+	r.end(rules.Broken, l)
+	s.answer <- false
+	l = r.send(2, 2)
+	s.answer <- true
+	r.end(rules.Succeeded, l)
+	if next(t, s.conns) == next(t, s.conns) {
+		t.Error("the old connection was used")
+	}
+}
+
+// Connections that rest are closed, after a while or when others need their place; nothing is kept of nodes long gone.
+func TestRest(t *testing.T) {
+	r := newRig(t, func(l *limits.Limits) { l.Nodes, l.Idle, l.Forget = 2, 100*time.Millisecond, 0 })
+	var stands []*stand
+	for id := range 4 {
+		s := newStand(t)
+		s.answer <- true
+		stands = append(stands, s)
+		r.list(rules.NodeID(id+1), rules.Ready, s.Addr().String())
+		r.end(rules.Succeeded, r.send(engine.Ident(id+1), rules.NodeID(id+1)))
+	}
+	for end := time.Now().Add(10 * time.Second); r.Count() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections rest", r.Count())
+		}
+	}
+	for id, s := range stands {
+		r.list(rules.NodeID(id+1), rules.Gone, s.Addr().String())
+	}
+	r.list(9, rules.Gone, "")
+	if len(r.nodes) > 1 {
+		t.Errorf("%d nodes are kept", len(r.nodes))
+	}
+	r.end(rules.Unconnected, r.send(9, 1))
+}
