A view that would be turned back is served from the router's own copies

Asked last is the smaller exception: the rings decide as before and the caches learn of every view. Now: the module asks its own node where it would turn a harmless view back (giveUp), if predicted in time; the engine plays that node within a quarter of the memory, under age and purges.

--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -44,7 +44,8 @@
 	var eng *engine.Engine
 	post := func(at time.Time, what any) { eng.Post(at, what) }
 	pool := back.New(lim, c.Names, c.Rules.Reports == rules.ViaProbe, post, log)
-	eng = engine.New(c.Rules, c.Seed, lim.Queue, time.Now(), pool, log)
+	eng = engine.New(c.Rules, c.Seed, lim.Queue, time.Now(), pool,
+		engine.Own{Bytes: lim.Copies, Flow: c.Flow, Link: c.Link, Forget: lim.Forget}, log)
 	eng.Start(0)
 	server := front.New(lim, c.Names, c.Rules.Tariffs, post)
 
@@ -88,6 +89,6 @@
 	runtime.ReadMemStats(&m)
 	log.Info("summary", zap.Uint64("views", n.Views), zap.Uint64("succeeded", n.Succeeded),
 		zap.Uint64("turned_back", n.TurnedBack), zap.Uint64("terminated", n.Terminated), zap.Uint64("gone", n.Gone),
-		zap.Uint64("legs", n.Legs), zap.Int64("open", n.Open), zap.Duration("lag", n.Lag), zap.Int("clients", clients),
+		zap.Uint64("legs", n.Legs), zap.Uint64("own", n.Own), zap.Int64("open", n.Open), zap.Duration("lag", n.Lag), zap.Int("clients", clients),
 		zap.Int("nodes", nodes), zap.Uint64("memory_mb", m.Sys>>20))
 }
--- a/cmd/fennelarch/serve_test.go
+++ b/cmd/fennelarch/serve_test.go
@@ -250,7 +250,7 @@
 	_ = ln.Close()
 	path := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
-	  "bulletin":%q,"known":{"no":1,"items":[%s]},"settings":%s}`, f.listen, f.board.Listener.Addr(), f.board.items[0], settingsText)
+	  "bulletin":%q,"flow_bytes_per_s":310000,"link_bytes_per_s":620000,"known":{"no":1,"items":[%s]},"settings":%s}`, f.listen, f.board.Listener.Addr(), f.board.items[0], settingsText)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -419,6 +419,23 @@
 	c.expect(c.view("clip", 1, 2000, ""), "BUSY holdoff=")
 }
 
+// What passed through the router is given again where the view would be turned back, until it is purged.
+func TestOwnCopies(t *testing.T) {
+	cache := newNode(t, "s-1", "std", func(q query) (string, bool) {
+		return q.says("200", fmt.Sprintf("sum=5,t0=%d,how=local", time.Now().UnixMilli()), "bytes"), false
+	})
+	f := newFleet(t, cache)
+	c := f.client().read()
+	c.expect(c.view("clip", 1, 2000, ""), "OK  bytes")
+	cache.set(busy)
+	f.parent.set(busy)
+	f.origin.set(busy)
+	c.expect(c.view("clip", 1, 2000, ""), "OK  bytes")
+	c.expect(c.view("clip", 2, 2000, ""), "BUSY")
+	f.board.tell(fmt.Sprintf(`"recall":{"item":"0000000000000001","issued":%d}`, time.Now().UnixMilli()))
+	await(t, "the purge", func() bool { return c.answer(c.view("clip", 1, 2000, ""))[0] == "BUSY" })
+}
+
 // The time of a view is up: it is answered then, and the node is told.
 func TestTimeUpAndUndo(t *testing.T) {
 	cache := newNode(t, "s-1", "std", silent)
--- a/internal/back/link.go
+++ b/internal/back/link.go
@@ -266,6 +266,12 @@
 		switch string(name) {
 		case "how":
 			end.Note = notes[string(value)]
+		case "sum":
+			end.Sum = string(value)
+		case "t0":
+			if ms := int64(figure(value)); ms > 0 {
+				end.Born = time.UnixMilli(ms)
+			}
 		case "slow":
 			end.Waited = settings.Span(figure(value))
 		case "stats":
--- /dev/null
+++ b/internal/engine/copies.go
@@ -0,0 +1,125 @@
+package engine
+
+// This file owns the copies that the router keeps in its own memory: what passed through it, the least lately used
+// dropped first, and the link by which they reach clients. It plays a node that holds what it holds; when it is asked,
+// and what it keeps, the router says. It must never hold more than its bound, or give out a copy that was purged.
+
+import (
+	"container/list"
+	"slices"
+	"time"
+
+	"fennelarch/rules"
+)
+
+// Own is what the router may use for copies of its own.
+type Own struct {
+	Bytes  int           // for all copies
+	Flow   float64       // bytes a second of one transfer
+	Link   float64       // and of all together
+	Forget time.Duration // an answer older than this is no longer on its way
+}
+
+// Room is how many transfers fit on the link, 0 where no copies can be kept.
+func (o Own) Room() float64 {
+	if o.Bytes <= 0 || o.Flow <= 0 {
+		return 0
+	}
+	return o.Link / o.Flow
+}
+
+// overhead is what a copy takes beside its bytes, as measured: two map entries and a list's element.
+const overhead = 256
+
+type copyKey struct {
+	object rules.ObjectID
+	part   int
+}
+
+type ownCopy struct {
+	key   copyKey
+	group rules.GroupID
+	body  []byte
+	sum   string
+	born  time.Time
+}
+
+type toldPurge struct {
+	Purge
+	told time.Time
+}
+
+type copies struct {
+	own    Own
+	held   int
+	byKey  map[copyKey]*list.Element
+	used   list.List       // the most lately used in front
+	purges []toldPurge     // lately
+	free   []time.Duration // by place on the link: when its last transfer ends
+}
+
+func newCopies(o Own) *copies {
+	return &copies{own: o, byKey: map[copyKey]*list.Element{}, free: make([]time.Duration, max(1, int(o.Room())))}
+}
+
+// keep takes a copy, unless it is older than a purge.
+func (c *copies) keep(a *Ask, end *LegEnd, now time.Time) {
+	n := ownCopy{key: copyKey{a.Object, a.Part}, group: a.Group, body: end.Body, sum: end.Sum, born: end.Born}
+	c.purges = slices.DeleteFunc(c.purges, func(p toldPurge) bool { return now.Sub(p.told) > c.own.Forget })
+	size := len(n.body) + overhead
+	if len(n.body) == 0 || end.Born.IsZero() || size > c.own.Bytes ||
+		slices.ContainsFunc(c.purges, func(p toldPurge) bool { return n.purged(p.Purge) }) {
+		return
+	}
+	c.drop(c.byKey[n.key])
+	for c.held+size > c.own.Bytes {
+		c.drop(c.used.Back())
+	}
+	c.held += size
+	c.byKey[n.key] = c.used.PushFront(&n)
+}
+
+func (c *copies) drop(e *list.Element) {
+	if e != nil {
+		o := c.used.Remove(e).(*ownCopy)
+		c.held -= len(o.body) + overhead
+		delete(c.byKey, o.key)
+	}
+}
+
+// purged says whether the copy is older than a purge of it.
+func (o *ownCopy) purged(p Purge) bool {
+	return (p.Object == o.key.object || p.Object == 0 && p.Group == o.group) && !o.born.After(p.Issued)
+}
+
+func (c *copies) purge(p Purge, now time.Time) {
+	c.purges = append(c.purges, toldPurge{p, now})
+	for e := c.used.Front(); e != nil; {
+		next := e.Next()
+		if e.Value.(*ownCopy).purged(p) {
+			c.drop(e)
+		}
+		e = next
+	}
+}
+
+// find returns a copy no older than so, 0 for any age.
+func (c *copies) find(a *Ask, oldest time.Duration, now time.Time) *ownCopy {
+	e := c.byKey[copyKey{a.Object, a.Part}]
+	if e == nil {
+		return nil
+	}
+	o := e.Value.(*ownCopy)
+	if oldest > 0 && now.Sub(o.born) > oldest {
+		return nil
+	}
+	c.used.MoveToFront(e)
+	return o
+}
+
+// send puts bytes on the link and returns when they are through.
+func (c *copies) send(now time.Duration, bytes int) time.Duration {
+	i := slices.Index(c.free, slices.Min(c.free))
+	c.free[i] = max(now, c.free[i]) + time.Duration(float64(bytes)/c.own.Flow*float64(time.Second))
+	return c.free[i]
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -88,6 +88,8 @@
 	Report  rules.Report
 	Same    bool // the client's copy is the one
 	Body    []byte
+	Sum     string    // the tag of the bytes
+	Born    time.Time // when the origin gave them out, zero where untold
 }
 
 // Caches carries legs to nodes. None of its calls may block.
@@ -141,9 +143,9 @@
 
 // Counts is what happened so far.
 type Counts struct {
-	Views, Succeeded, TurnedBack, Terminated, Gone, Legs uint64
-	Open                                                 int64
-	Lag                                                  time.Duration // longest wait of an event since the last ones
+	Views, Succeeded, TurnedBack, Terminated, Gone, Legs, Own uint64
+	Open                                                      int64
+	Lag                                                       time.Duration // longest wait of an event since the last ones
 }
 
 type view struct {
@@ -160,6 +162,7 @@
 	router  *rules.Router
 	set     rules.Settings
 	caches  Caches
+	copies  *copies
 	log     *zap.Logger
 	start   time.Time
 	now     time.Duration
@@ -174,9 +177,11 @@
 }
 
 // New returns an engine whose clock starts at start.
-func New(set rules.Settings, seed uint64, queue int, start time.Time, caches Caches, log *zap.Logger) *Engine {
-	return &Engine{in: make(chan Event, queue), router: rules.New(set, seed), set: set, caches: caches, log: log, start: start,
-		stop: math.MaxInt64, views: map[rules.ViewID]*view{}}
+func New(set rules.Settings, seed uint64, queue int, start time.Time, caches Caches, own Own, log *zap.Logger) *Engine {
+	set.OwnRoom = own.Room()
+	return &Engine{in: make(chan Event, queue), router: rules.New(set, seed), set: set, caches: caches, copies: newCopies(own), log: log,
+		start: start,
+		stop:  math.MaxInt64, views: map[rules.ViewID]*view{}}
 }
 
 // Post tells the engine of an event; it waits while the engine has too many before it.
@@ -234,6 +239,7 @@
 	case List:
 		e.list(what)
 	case Purge:
+		e.copies.purge(what, e.wall())
 		e.tell(&rules.Event{Kind: rules.EventPurge, Object: what.Object, Group: what.Group,
 			Ago: max(0, e.now-what.Issued.Sub(e.start))})
 	case Gone:
@@ -260,6 +266,8 @@
 		switch {
 		case t.view == 0:
 			e.tell(&rules.Event{Kind: rules.EventTimer, Timer: t.name})
+		case t.leg != nil && t.leg.Node == rules.Own:
+			e.legEnd(LegEnd{Leg: t.leg, Outcome: rules.Succeeded}, e.now)
 		case t.leg != nil:
 			e.giveUp(t.leg, rules.TimedOut)
 			e.settle()
@@ -307,12 +315,45 @@
 	if end.Outcome == rules.Succeeded && v.open {
 		e.answer(v, Answer{Verdict: Succeeded, Unchanged: end.Same, Body: end.Body})
 	}
+	if end.Outcome == rules.Succeeded && l.How&rules.HowCopy != 0 {
+		e.copies.keep(l.Ask, &end, e.wall())
+	}
 	e.finish(v, l)
 	e.tell(&rules.Event{Kind: rules.EventLegEnd, View: l.Ask.View, Leg: l.No, Node: l.Node, Outcome: end.Outcome, Note: end.Note,
 		Final: !v.open, Took: max(0, min(at, e.now)-l.sent), Waited: end.Waited, Report: end.Report})
 	e.forget(v)
 }
 
+// wall is the time by the Unix clock.
+func (e *Engine) wall() time.Time { return e.start.Add(e.now) }
+
+// serve answers from the router's own copies. The leg ends when its bytes are through.
+func (e *Engine) serve(v *view, l *Leg) {
+	a := v.ask
+	oldest := l.Age
+	if oldest == 0 {
+		oldest = e.set.Tariffs[a.Tariff].Fresh
+	}
+	c := e.copies.find(a, oldest, e.wall())
+	if c == nil {
+		e.finish(v, l)
+		e.queue = append(e.queue, rules.Event{Kind: rules.EventLegEnd, View: a.View, Leg: l.No, Node: l.Node, Outcome: rules.Missed})
+		return
+	}
+	answer := Answer{Verdict: Succeeded, Unchanged: a.Have != "" && a.Have == c.sum, Body: c.body}
+	size := len(c.body)
+	if answer.Unchanged {
+		size /= unchanged
+	}
+	e.counts.Own++
+	e.answer(v, answer)
+	e.queue = append(e.queue, rules.Event{Kind: rules.EventStream, View: a.View, Leg: l.No, Node: l.Node})
+	heap.Push(&e.timers, timer{at: e.copies.send(e.now, size), view: a.View, leg: l})
+}
+
+// unchanged is the part of its bytes' time that it takes to tell a client that its copy holds: the protocol's twentieth.
+const unchanged = 20
+
 // giveUp ends a leg from this side; the router hears of it next.
 func (e *Engine) giveUp(l *Leg, how rules.Outcome) {
 	if l.done {
@@ -440,6 +481,10 @@
 	}
 	v.legs = append(v.legs, l)
 	v.outs++
+	if l.Node == rules.Own {
+		e.serve(v, l)
+		return
+	}
 	e.counts.Legs++
 	if a.Limit > 0 && a.Limit < l.Wait {
 		l.Wait = a.Limit
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -23,7 +23,7 @@
 
 const cache, parent, origin rules.NodeID = 1, 2, 3
 
-func newRig() *rig {
+func newRig(own ...Own) *rig {
 	set := rules.Settings{Routers: 1, ZoneRouters: []int{1}, ParentKind: 1, OriginKind: 2, Cancel: true, SecondCopies: true,
 		RetryAfter: true, Legs: 6, MaxWait: time.Second, DrainGrace: time.Second, ColdShare: 1, ParentColdShare: 1,
 		PurgeGrace: time.Second, PurgeDone: 6 * time.Second, Direct: true, Tells: rules.TellsAll, FlowKB: 1000,
@@ -31,7 +31,7 @@
 			{Due: 500 * time.Millisecond, DueStretch: 2, Hard: 5 * time.Second, Payoff: 2},
 			{Due: 700 * time.Millisecond, Hard: 3 * time.Second, Payoff: 3, Effect: rules.OneShot, Write: true}}}
 	r := &rig{start: time.Now(), tried: true}
-	r.Engine = New(set, 1, 16, r.start, r, zap.NewNop())
+	r.Engine = New(set, 1, 16, r.start, r, append(own, Own{})[0], zap.NewNop())
 	r.Start(0)
 	var nodes []Node
 	for kind, id := range []rules.NodeID{cache, parent, origin} {
@@ -56,7 +56,7 @@
 }
 
 func (r *rig) end(leg int, o rules.Outcome, note rules.Note) {
-	r.tell(LegEnd{Leg: r.legs[leg], Outcome: o, Note: note, Body: []byte("bytes")})
+	r.tell(LegEnd{Leg: r.legs[leg], Outcome: o, Note: note, Body: []byte("bytes"), Sum: "tag", Born: r.start.Add(r.at)})
 }
 
 func (r *rig) say(format string, args ...any) {
@@ -67,6 +67,10 @@
 }
 
 func (r *rig) Answer(tag Tag, a Answer) {
+	if a.Unchanged {
+		r.say("view %d: unchanged", tag)
+		return
+	}
 	r.say("view %d: %s, %d bytes", tag, [...]string{"succeeded", "turned back", "terminated"}[a.Verdict], len(a.Body))
 }
 
@@ -182,6 +186,79 @@
 	// 0 0
 }
 
+// What passed through the router is kept, and given where the view would be turned back; but not if it was purged, and
+// to a client whose copy is the one without its bytes. The leg ends when the link has carried it.
+func Example_ownCopies() {
+	r := newRig(Own{Bytes: 1 << 20, Flow: 50, Link: 50, Forget: 10 * time.Second})
+	r.view(1, 0, 2*time.Second)
+	r.end(0, rules.Succeeded, rules.NoteHit)
+	r.tell(List{All: true}) // nobody is left
+	r.view(2, 0, 2*time.Second)
+	fmt.Println(len(r.views), r.Open())
+	r.view(3, 0, 2*time.Second) // after the other on the link, and still in time
+	r.pass(100 * time.Millisecond)
+	fmt.Println(len(r.views), r.Open())
+	r.tell(&Ask{View: 4, Client: r, Tag: 4, Object: 7, KB: 100, Left: time.Second, At: r.start.Add(r.at), Have: "tag"})
+	r.pass(100 * time.Millisecond)
+	r.tell(Purge{Group: 1, Issued: r.start.Add(r.at)})
+	r.view(5, 0, 2*time.Second)
+	r.pass(100 * time.Millisecond)
+	r.tell(Purge{Object: 7, Issued: r.start.Add(r.at)})
+	r.view(6, 0, 2*time.Second)
+	r.pass(time.Second)
+	fmt.Println(len(r.views), r.Open(), r.counts.Own)
+	// Output:
+	//      0s view 1: leg to A, fill from P, for 2s
+	//      0s view 1: succeeded, 5 bytes
+	//      0s view 2: succeeded, 5 bytes
+	// 1 0
+	//      0s view 3: succeeded, 5 bytes
+	// 1 0
+	//   100ms view 4: unchanged
+	//   200ms view 5: succeeded, 5 bytes
+	//   300ms view 6: turned back, 0 bytes
+	// 0 0 4
+}
+
+// Copies keep to their bound, the least lately used go first, and one from before a purge is not taken after it.
+func TestCopies(t *testing.T) {
+	c := newCopies(Own{Bytes: 3 * (1000 + overhead), Flow: 1000, Link: 2500, Forget: 10 * time.Second})
+	now := time.Now()
+	ask := func(o rules.ObjectID) *Ask { return &Ask{Object: o, Group: rules.GroupID(o % 2)} }
+	keep := func(o rules.ObjectID, born time.Time) {
+		c.keep(ask(o), &LegEnd{Body: make([]byte, 1000), Born: born}, now)
+	}
+	for o := range rules.ObjectID(3) {
+		keep(o+1, now)
+	}
+	c.find(ask(1), 0, now)
+	keep(4, now)
+	keep(4, now)
+	if c.find(ask(1), 0, now) == nil || c.find(ask(2), 0, now) != nil || c.held > c.own.Bytes || c.used.Len() != 3 {
+		t.Errorf("%d copies, %d bytes", c.used.Len(), c.held)
+	}
+	if c.find(ask(1), time.Second, now.Add(2*time.Second)) != nil {
+		t.Error("a copy too old was given")
+	}
+	told := now.Add(time.Minute)
+	c.purge(Purge{Group: 1, Issued: now}, told)
+	keep(1, now.Add(-time.Second))
+	if c.find(ask(1), 0, now) != nil || c.find(ask(3), 0, now) != nil || c.find(ask(4), 0, now) == nil {
+		t.Error("a purge of a group took others, or not all")
+	}
+	if keep(1, now.Add(time.Millisecond)); c.find(ask(1), 0, now) == nil {
+		t.Error("a copy from after the purge was not kept")
+	}
+	if keep(5, time.Time{}); c.find(ask(5), 0, now) != nil {
+		t.Error("a copy of unknown age was kept")
+	}
+	for i, want := range []time.Duration{2, 2, 3} { // two places on the link
+		if got := c.send(time.Second, 1000); got != want*time.Second {
+			t.Errorf("transfer %d ends at %v", i, got)
+		}
+	}
+}
+
 // What waited in the queue is taken off the client's time, and told as the engine's lag.
 func TestLag(t *testing.T) {
 	r := newRig()
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -26,6 +26,7 @@
 	ClientOut int
 	NodeIn    int
 	NodeOut   int
+	Copies    int   // the router's own copies
 	Answers   int64 // bodies that wait for clients, all together
 	Events    int64 // one answer of the bulletin
 
@@ -84,7 +85,7 @@
 		Clients: t.Sockets * 2 / 5, Nodes: t.Sockets / 4, NodeConns: max(4, 128/streams), Streams: streams,
 		Strings: 8, Request: 48_000, Object: 240_000, Fields: 1 << 10,
 		ClientIn: 64 << 10, ClientOut: 32 << 10, NodeIn: 256 << 10, NodeOut: 64 << 10,
-		Answers: int64(t.MemoryMB) << 20 / 6, Events: 4 << 20,
+		Copies: t.MemoryMB << 20 / 4, Answers: int64(t.MemoryMB) << 20 / 6, Events: 4 << 20,
 		Open: 32, Waiting: 64, Queue: 4096, Lines: 1024,
 		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 15 * time.Second, Stuck: 5 * time.Second,
 		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -23,6 +23,8 @@
 	Cores    float64
 	MemoryMB int
 	Sockets  int
+	Flow     float64         // bytes a second of one transfer from the router's own memory
+	Link     float64         // and of all together
 	Known    json.RawMessage // the bulletin's events so far
 	Rules    rules.Settings
 	Names    Names
@@ -50,13 +52,15 @@
 			MemoryMB int     `json:"memory_mb"`
 			Sockets  int     `json:"sockets"`
 		}
+		Flow            float64 `json:"flow_bytes_per_s"`
+		Link            float64 `json:"link_bytes_per_s"`
 		Known, Settings json.RawMessage
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Bulletin: f.Bulletin, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
-		Sockets: f.Limits.Sockets, Known: f.Known}
+		Sockets: f.Limits.Sockets, Flow: f.Flow, Link: f.Link, Known: f.Known}
 	if name != "" {
 		c.Name = name
 	}
--- a/rules/helper_test.go
+++ b/rules/helper_test.go
@@ -28,7 +28,7 @@
 const origin NodeID = 301
 
 var names = map[NodeID]string{cacheA: "A", cacheB: "B", cacheC: "C", cacheD: "D", parentP: "P", parentQ: "Q",
-	origin: "origin"}
+	origin: "origin", Own: "own"}
 
 // plain are the settings that the traces start from: one harmless tariff, one write, everything told and allowed.
 func plain() Settings {
--- a/rules/iface.go
+++ b/rules/iface.go
@@ -23,6 +23,9 @@
 	LegNo    int
 )
 
+// Own is the router itself as a node, where the front end keeps copies for it.
+const Own = NodeID(math.MaxUint64)
+
 // LongAgo is the start of a node that has run for longer than anybody recalls.
 const LongAgo = time.Duration(math.MinInt64 / 4)
 
@@ -142,7 +145,8 @@
 	Tells    Tells
 	FlowKB   float64 // KB a second of one transfer to a client
 
-	WeightIsLink bool // a node's weight counts the transfers that its link carries, if roughly
+	OwnRoom      float64 // transfers that fit on the router's own link, 0: it keeps no copies
+	WeightIsLink bool    // a node's weight counts the transfers that its link carries, if roughly
 
 	Reports Via
 	Columns []Signal
@@ -281,10 +285,11 @@
 type How uint8
 
 const (
-	HowJoin      How = 1 // wait for a fill under way
-	HowHoldsOnly How = 2 // the source gives only what it holds
-	HowNoCopy    How = 4 // the parent keeps no copy
-	HowRenew     How = 8 // serve an ageing copy and fetch it anew behind
+	HowJoin      How = 1  // wait for a fill under way
+	HowHoldsOnly How = 2  // the source gives only what it holds
+	HowNoCopy    How = 4  // the parent keeps no copy
+	HowRenew     How = 8  // serve an ageing copy and fetch it anew behind
+	HowCopy      How = 16 // the router itself keeps a copy of the answer
 )
 
 // Action is what the router wants done, in the order given.
--- a/rules/router.go
+++ b/rules/router.go
@@ -6,7 +6,7 @@
 
 // New returns a router with empty hands.
 func New(set Settings, seed uint64) *Router {
-	r := &Router{set: set, rng: newPCG(seed), index: map[NodeID]int32{}, byID: map[ViewID]int32{}, origin: none,
+	r := &Router{set: set, rng: newPCG(seed), index: map[NodeID]int32{}, byID: map[ViewID]int32{}, origin: none, own: none,
 		rows: make([]row, len(set.Tariffs)), tenants: make([]allowance, len(set.Tenants)),
 		memory: make([]memo, memorySize), gate: gate{window: gateStart}, share: 1, retries: retriesMost}
 	z := int(set.Zone)
@@ -14,6 +14,10 @@
 		r.share = 1 / float64(set.ZoneRouters[z])
 	}
 	r.inlet.room = set.inlet()
+	if set.OwnRoom > 0 {
+		r.own = r.place()
+		r.nodes[r.own] = node{id: Own, role: roleOwn, state: Ready, started: LongAgo, pipe: pipe{room: set.OwnRoom}}
+	}
 	if r.set.Legs <= 0 || r.set.Legs > maxLegs {
 		r.set.Legs = maxLegs
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -37,6 +37,7 @@
 	stageOrigin              // filled straight from the origin: the parent is failing
 	stageDirect              // past the caches, straight to a parent or the origin
 	stageLook                // the cache only, no fill
+	stageOwn                 // the router's own copies
 	stages
 )
 
@@ -77,6 +78,7 @@
 	stageOrigin: {stop, {stageHome, fill}, stop, next, next, stop},
 	stageDirect: {next, next, stop, next, next, stop},
 	stageLook:   {stop, stop, stop, stop, next, stop},
+	stageOwn:    {stop, stop, stop, stop, stop, stop},
 }
 
 // ended tells from an answer what failed. Without notes only the outcome speaks.
@@ -142,12 +144,6 @@
 // for a fifth of all views to fail once, too few to double the load when everything fails.
 const retriesEach, retriesMost = 0.25, 20
 
-// overAllowance: the tenant has had its share of views lately; such a view must not crowd out others.
-func (r *Router) overAllowance(tenant int) bool {
-	return tenant < len(r.tenants) && r.set.Tenants[tenant].Allowance > 0 &&
-		!r.tenants[tenant].take(r.set.Tenants[tenant].Allowance/float64(max(1, r.set.Routers)), r.now)
-}
-
 // start sends a view by the ordinary path: the ring's cache, the former owner if the slot moved, the parent.
 func (r *Router) start(v *view) {
 	v.cache = r.pick(v)
@@ -298,6 +294,9 @@
 		if t.Fresh > 0 && a.Keep > 1 {
 			a.How |= HowRenew
 		}
+		if r.own != none && n != r.own {
+			a.How |= HowCopy
+		}
 	}
 	l.kept = a.Keep > 0
 	v.legs[v.n] = l
@@ -343,11 +342,14 @@
 	if !v.open || v.outs > 0 {
 		return
 	}
-	t, ran := &r.set.Tariffs[v.tariff], false
-	for i := range v.n {
-		ran = ran || v.legs[i].ran
+	t := &r.set.Tariffs[v.tariff]
+	// What the caches cannot give in time, a copy of the router's own may: where it keeps copies, it is asked last, so
+	// that they learn of every view. Guards against lost, cold and crowded caches of whatever cause.
+	if r.own != none && t.Effect == Harmless && !t.Write && !r.asked(v, r.own) && r.inTime(v, r.own, none) &&
+		r.send(v, stageOwn, r.own, r.own, 0) {
+		return
 	}
-	if t.Effect == Harmless || !ran || t.Effect == Stamped && t.Scope == ScopeAll {
+	if t.Effect == Harmless || !v.ran() || t.Effect == Stamped && t.Scope == ScopeAll {
 		a := Action{Kind: ActionTurnBack, View: v.id}
 		if r.set.RetryAfter {
 			a.Wait = min(r.set.MaxWait, backoff/2+time.Duration(r.rng.float()*float64(backoff)))
@@ -424,7 +426,7 @@
 		row.usual.add(e.Took, 0.1)
 		return
 	}
-	far := n.role != roleCache
+	far := n.role > roleCache
 	filled := far || e.Note == NoteFilled || e.Note == NoteViaOrigin
 	n.carries.add(v.sending.Seconds(), r.now, r.carriesOver(l.node))
 	m := r.remember(v)
@@ -805,14 +807,6 @@
 	return none
 }
 
-// firstRoom is a link's room before any transfer was seen on it: what the list tells, if roughly, else 0.
-func (r *Router) firstRoom(m *Member) float64 {
-	if !r.set.WeightIsLink {
-		return 0
-	}
-	return m.Weight
-}
-
 // trusted is how long a room under one transfer is believed without news: then one goes on trial.
 const trusted = 2 * time.Second
 
@@ -863,7 +857,7 @@
 	s := r.stretch(&r.nodes[n].pipe, r.warm(n))
 	wait := time.Duration(0)
 	// A view past the caches comes through the location's link whatever the parent holds.
-	far := r.nodes[n].role != roleCache
+	far := r.nodes[n].role > roleCache
 	filled = far || src != n && src != none && !r.holds(v, n)
 	if filled && (far || r.nodes[src].role != roleCache) {
 		s = max(s, r.stretch(&r.inlet, 1))
@@ -872,7 +866,11 @@
 			wait = r.gate.wait
 		}
 	}
-	send := time.Duration(float64(v.sending) * (s + (s-1)*growth))
+	grow := growth
+	if n == r.own {
+		grow = 0 // one transfer after the other, and nobody else's
+	}
+	send := time.Duration(float64(v.sending) * (s + (s-1)*grow))
 	return wait + send, float64(send+ms) / float64(wait+send+ms), filled
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -452,6 +452,35 @@
 	// 14.00s view 2000: leg to A, fill from P
 }
 
+// What the caches cannot give in time, a copy of the router's own may: it is asked last, and not for a
+// view that may not run twice; after a purge no copy from before it will do.
+func Example_ownCopies() {
+	set := plain()
+	set.OwnRoom, set.Direct = 1, false
+	b := newBench(set, cacheA)
+	b.view(1, 0, 7)
+	b.end(1, cacheA, 20*ms, Full, NoteNoPlace)
+	b.do(&Event{Kind: EventStream, View: 1, Leg: 1})
+	b.do(&Event{Kind: EventPurge, Object: 8, Ago: 100 * ms})
+	b.view(2, 0, 8)
+	b.end(2, cacheA, 20*ms, Full, NoteNoPlace)
+	b.end(2, Own, 0, Missed, NoteNone)
+	b.end(1, Own, 100*ms, Succeeded, NoteNone)
+	b.view(3, 1, 9)
+	b.end(3, cacheA, 20*ms, Errored, NoteNone)
+	b.list(ListFull)
+	b.view(4, 0, 7)
+	// Output:
+	//   0.00s view 1: leg to A, fill from P
+	//   0.02s view 1: leg to own, fill from own
+	//   0.02s view 2: leg to A, fill from A, no older than 99ms
+	//   0.04s view 2: leg to own, fill from own, no older than 119ms
+	//   0.04s view 2: turned back
+	//   0.14s view 3: leg to A, fill from origin
+	//   0.16s view 3: terminated
+	//   0.16s view 4: leg to own, fill from own
+}
+
 // The list by asking: asked for at the start, and again after a failure.
 func Example_askForList() {
 	set := plain()
--- a/rules/state.go
+++ b/rules/state.go
@@ -14,7 +14,8 @@
 type role uint8
 
 const (
-	roleCache role = iota
+	roleOwn role = iota // the router itself, with copies of its own
+	roleCache
 	roleParent
 	roleOrigin
 )
@@ -93,6 +94,7 @@
 	nodes   []node
 	index   map[NodeID]int32
 	origin  int32
+	own     int32 // the router itself, where it keeps copies
 	caches  ring
 	parents ring
 	past    []pastRing
@@ -216,7 +218,7 @@
 func (r *Router) log(what string, n int32) {
 	if n != none {
 		d := &r.nodes[n]
-		role := [...]string{"cache", "parent", "origin"}[d.role]
+		role := [...]string{"own", "cache", "parent", "origin"}[d.role]
 		r.act(Action{Kind: ActionLog, Text: fmt.Sprintf("%s %x: %s", role, uint64(d.id), what)})
 	}
 }
@@ -274,6 +276,11 @@
 	return false
 }
 
+// ran tells whether a leg may have run.
+func (v *view) ran() bool {
+	return slices.ContainsFunc(v.legs[:v.n], func(l leg) bool { return l.ran })
+}
+
 func (r *Router) asked(v *view, n int32) bool {
 	for i := range v.n {
 		if v.legs[i].node == n {
@@ -355,6 +362,9 @@
 // total is how many transfers run on a link of the location by now: this router's, and for each of the others
 // that share it what this one usually has there, or the middle of that and of what reports tell.
 func (r *Router) total(p *pipe) float64 {
+	if r.own != none && p == &r.nodes[r.own].pipe {
+		return p.busy // nobody shares it
+	}
 	others := p.usualBy(r.now) * (1/r.share - 1)
 	if p.full > 0 && r.now-p.heard < reported && r.share < 1 {
 		others = (others + max(0, p.full*p.room-p.usualBy(r.now))) / 2
@@ -367,6 +377,12 @@
 	return min(1, r.share*float64(max(1, len(r.caches.members)))/gateCaches)
 }
 
+// overAllowance: the tenant has had its share of views lately; such a view must not crowd out others.
+func (r *Router) overAllowance(tenant int) bool {
+	return tenant < len(r.tenants) && r.set.Tenants[tenant].Allowance > 0 &&
+		!r.tenants[tenant].take(r.set.Tenants[tenant].Allowance/float64(max(1, r.set.Routers)), r.now)
+}
+
 // take takes one view of an allowance a second, if there is one left.
 func (a *allowance) take(each float64, now time.Duration) bool {
 	a.left, a.at = min(each, a.left+each*(now-a.at).Seconds()), now
@@ -472,8 +488,10 @@
 			}
 			n = r.place()
 			r.index[m.Node] = n
-			r.nodes[n] = node{id: m.Node, role: k, zone: m.Zone, cell: m.Cell, started: LongAgo, heard: r.now,
-				pipe: pipe{room: r.firstRoom(m)}}
+			r.nodes[n] = node{id: m.Node, role: k, zone: m.Zone, cell: m.Cell, started: LongAgo, heard: r.now}
+			if r.set.WeightIsLink {
+				r.nodes[n].pipe.room = m.Weight // as told, until transfers show it
+			}
 			if k == roleOrigin {
 				r.origin = n
 			}
@@ -486,7 +504,7 @@
 		r.update(d, m.State)
 	}
 	for n := range r.nodes {
-		if d := &r.nodes[n]; e.List != ListChanges && d.seen != r.walks {
+		if d := &r.nodes[n]; e.List != ListChanges && d.seen != r.walks && d.role != roleOwn {
 			r.update(d, Gone)
 		}
 	}
