SIGHUP reads the configuration again; the bulletin is followed at its new address

Nothing handled SIGHUP (serve.go), and the follower was given its address once for all (bulletin.go, Run). Now: signals are taken before anything else. At SIGHUP the file is read and checked whole; the follower drops its poll or pause and asks the new address from the last number. A page that breaks off, or begins and stays open, gives its whole events; a page without a number no longer reads as one that went back. Tests: TestReload ends with 'signal: hangup' without it; TestFailedPolls with cut and standing pages.

--- a/cmd/fennelarch/main.go
+++ b/cmd/fennelarch/main.go
@@ -21,13 +21,7 @@
 
 type versionCmd struct{}
 
-func (serveCmd) Run() error {
-	c, err := settings.Load(os.Getenv)
-	if err != nil {
-		return err
-	}
-	return serve(c)
-}
+func (serveCmd) Run() error { return serve() }
 
 func (checkCmd) Run() error {
 	c, err := settings.Load(os.Getenv)
--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -27,7 +27,15 @@
 	"fennelarch/rules"
 )
 
-func serve(c *settings.Config) error {
+func serve() error {
+	// From the first moment on: by default either signal would end the program.
+	again, stop := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	c, err := settings.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
 	told := limits.Told{Cores: c.Cores, MemoryMB: c.MemoryMB, Sockets: c.Sockets, Streams: c.Names.Streams,
 		Connect: c.Rules.ConnectLimit, Idle: c.Names.Idle, Drain: c.Rules.DrainGrace, Purge: c.Rules.PurgeGrace}
 	for _, t := range c.Rules.Tariffs {
@@ -55,25 +63,30 @@
 			return fmt.Errorf("configuration: known: %w", err)
 		}
 	}
-	follower := bulletin.New(lim, c.Names, log)
+	follower := bulletin.New(lim, c.Names, c.Bulletin, log)
 	if err := follower.Take(&known, func(what any) { eng.Handle(0, engine.Event{What: what}) }); err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
 
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
 	done := make(chan struct{}) // never: the engine answers to the last
 	go eng.Run(done, lim.Summary, func(n engine.Counts) { summary(log, n, server.Count(), pool.Count()) })
-	go follower.Run(context.Background(), c.Bulletin, post)
+	go follower.Run(context.Background(), post)
 	go func() { _ = server.Serve(ln) }()
 	log.Info("started", zap.String("listen", c.Listen), zap.Float64("cores", lim.Cores), zap.Int64("memory", lim.Memory),
 		zap.Int("sockets", lim.Sockets))
 
-	<-stop // a second order changes nothing
+	for running := true; running; {
+		select {
+		case <-again:
+			reload(follower, log)
+		case <-stop: // a second order changes nothing
+			running = false
+		}
+	}
 	log.Info("stopping", zap.Int("open", eng.Open()))
 	begun := time.Now()
 	eng.Post(begun, engine.Stop{After: lim.Stop})
@@ -84,6 +97,17 @@
 	return nil
 }
 
+// reload takes over from the configuration what may change while the router runs: the bulletin's address.
+func reload(follower *bulletin.Follower, log *zap.Logger) {
+	c, err := settings.Load(os.Getenv)
+	if err != nil {
+		log.Warn("configuration stays as it was", zap.Error(err))
+		return
+	}
+	log.Info("configuration read again")
+	follower.Move(c.Bulletin)
+}
+
 func summary(log *zap.Logger, n engine.Counts, clients, nodes int) {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/cmd/fennelarch/serve_test.go
+++ b/cmd/fennelarch/serve_test.go
@@ -221,7 +221,7 @@
 	parent, origin *node
 	board          *board
 	router         *exec.Cmd
-	listen         string
+	listen, config string
 	log            bytes.Buffer
 	logged         chan struct{}
 	ended          error
@@ -248,13 +248,9 @@
 	}
 	f.listen = ln.Addr().String()
 	_ = ln.Close()
-	path := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
-	  "bulletin":%q,"flow_bytes_per_s":310000,"link_bytes_per_s":620000,"known":{"no":1,"items":[%s]},"settings":%s}`, f.listen, f.board.Listener.Addr(), f.board.items[0], settingsText)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	f.router = program("serve", path)
+	f.config = filepath.Join(t.TempDir(), "config.json")
+	f.configure(f.board, "")
+	f.router = program("serve", f.config)
 	out, err := f.router.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -287,6 +283,19 @@
 	return f
 }
 
+// configure writes the configuration with the bulletin at a board, cut off where it is to be.
+func (f *fleet) configure(b *board, cut string) {
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+	  "bulletin":%q,"flow_bytes_per_s":310000,"link_bytes_per_s":620000,"known":{"no":1,"items":[%s]},"settings":%s}`, f.listen,
+		b.Listener.Addr(), f.board.items[0], settingsText)
+	if cut != "" {
+		text, _, _ = strings.Cut(text, cut)
+	}
+	if err := os.WriteFile(f.config, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 func program(args, config string) *exec.Cmd {
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "FENNELARCH_ARGS="+args, "RELAY_CONFIG="+config, "GORACE=atexit_sleep_ms=0")
@@ -594,6 +603,37 @@
 	})
 }
 
+// At SIGHUP the bulletin is followed at its new address, from the number that it has come to. A configuration that cannot be
+// used changes nothing, nor does a signal more.
+func TestReload(t *testing.T) {
+	a, b := newNode(t, "s-1", "std", hit), newNode(t, "s-2", "std", hit)
+	f := newFleet(t, a)
+	c := f.client().read()
+	other := newBoard(t)
+	other.items = append(other.items, f.board.items[0])
+	f.configure(other, `"settings"`)
+	_ = f.router.Process.Signal(syscall.SIGHUP)
+	f.configure(other, "")
+	for range 3 {
+		_ = f.router.Process.Signal(syscall.SIGHUP)
+		time.Sleep(50 * time.Millisecond)
+	}
+	other.list(false, "ready", b)
+	object := 0
+	await(t, "a leg to the new cache", func() bool {
+		object++
+		c.expect(c.view("clip", object, 2000, ""), "OK")
+		return len(b.got("fetch")) > 0
+	})
+	_ = f.router.Process.Signal(syscall.SIGTERM)
+	_ = f.router.Process.Signal(syscall.SIGHUP)
+	c.expect(c.view("clip", 1, 2000, ""), "OK")
+	<-f.logged
+	if f.ended != nil {
+		t.Error(f.ended)
+	}
+}
+
 // What one client does wrong is its own affair.
 func TestBadClients(t *testing.T) {
 	cache := newNode(t, "s-1", "std", func(q query) (string, bool) { return q.says("200", "how=local", strings.Repeat("x", 200_000)), false })
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -3,8 +3,10 @@
 package bulletin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -12,6 +14,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +25,8 @@
 	"fennelarch/rules"
 )
 
+var errPage = errors.New("not a page of events")
+
 // Page is what a poll brings, and what the configuration knows at the start.
 type Page struct {
 	No    int64  `json:"no"`
@@ -64,11 +69,36 @@
 	log    *zap.Logger
 	last   int64 // number of the last event that was passed on
 	gap    int64 // number before which one is missing, as seen in the last page
+
+	mu      sync.Mutex
+	address string
+	drop    context.CancelFunc // ends what is asked at this address, or the pause after it
+}
+
+// New returns a follower of the bulletin at an address, that has seen nothing.
+func New(l limits.Limits, n settings.Names, address string, log *zap.Logger) *Follower {
+	return &Follower{limits: l, names: n, address: address, log: log}
+}
+
+// Move makes it follow the bulletin at another address, from the event that it has come to: the numbers go on.
+func (f *Follower) Move(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.address == address {
+		return
+	}
+	f.log.Info("bulletin moves", zap.String("to", address))
+	if f.address = address; f.drop != nil {
+		f.drop()
+	}
 }
 
-// New returns a follower that has seen nothing.
-func New(l limits.Limits, n settings.Names, log *zap.Logger) *Follower {
-	return &Follower{limits: l, names: n, log: log}
+// at begins a stay at the address of the moment; a move ends it.
+func (f *Follower) at(ctx context.Context) (stay context.Context, address string, end context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	stay, f.drop = context.WithCancel(ctx)
+	return stay, f.address, f.drop
 }
 
 // NodeID is the id of a node: a hash of its uid, so that all routers agree on it.
@@ -83,7 +113,7 @@
 // Take passes on the events of a page that are new. Where one is missing, what follows waits for the next page; if it is
 // missing there too, it is gone. Numbers that went back are those of a new bulletin, whose first event is a whole list.
 func (f *Follower) Take(p *Page, pass func(what any)) error {
-	if p.No < f.last {
+	if p.No > 0 && p.No < f.last {
 		f.log.Warn("bulletin went back", zap.Int64("from", f.last), zap.Int64("to", p.No))
 		f.last = 0
 	}
@@ -143,37 +173,47 @@
 }
 
 // Run polls until the context ends.
-func (f *Follower) Run(ctx context.Context, address string, post func(at time.Time, what any)) {
-	client := &http.Client{Timeout: f.limits.Silent}
+func (f *Follower) Run(ctx context.Context, post func(at time.Time, what any)) {
+	client := &http.Client{Transport: &http.Transport{IdleConnTimeout: f.limits.Silent, MaxConnsPerHost: 1}}
 	pass := func(what any) { post(time.Now(), what) }
-	wait, silent := f.limits.Again, false
+	wait, silent, before := f.limits.Again, false, ""
 	for ctx.Err() == nil {
+		stay, address, end := f.at(ctx)
+		if address != before {
+			wait, before = f.limits.Again, address
+			client.CloseIdleConnections()
+		}
 		begun, last := time.Now(), f.last
-		err := f.poll(ctx, client, address, pass)
+		err := f.poll(stay, client, address, pass)
 		switch {
-		case err == nil:
-			if silent {
-				f.log.Info("bulletin is back", zap.Int64("no", f.last))
-			}
+		case err == nil && silent:
+			f.log.Info("bulletin is back", zap.Int64("no", f.last))
 			silent = false
-			if f.last > last || time.Since(begun) > f.limits.Again {
-				wait = f.limits.Again
-				continue
-			}
-			// It brought nothing and did not wait either: no use in asking without a pause.
-		case !silent && ctx.Err() == nil:
+		case err != nil && !silent && stay.Err() == nil:
 			f.log.Warn("bulletin cannot be read", zap.Error(err))
 			silent = true
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait/2 + rand.N(wait)):
+		if f.last > last || err == nil && time.Since(begun) > f.limits.Again {
+			wait = f.limits.Again
+		} else {
+			// It brought nothing and did not wait either: no use in asking without a pause.
+			select {
+			case <-stay.Done():
+			case <-time.After(wait/2 + rand.N(wait)):
+			}
+			wait = min(2*wait, f.limits.Late)
 		}
-		wait = min(2*wait, f.limits.Late)
+		end()
 	}
 }
 
-func (f *Follower) poll(ctx context.Context, client *http.Client, address string, pass func(any)) error {
+// poll asks once and takes what comes. An answer that is late, or once begun does not go on, is given up; the whole
+// events before its end are good all the same.
+func (f *Follower) poll(stay context.Context, client *http.Client, address string, pass func(any)) error {
+	ctx, giveUp := context.WithCancel(stay)
+	defer giveUp()
+	watch := time.AfterFunc(f.limits.Silent, giveUp)
+	defer watch.Stop()
 	url := fmt.Sprintf("http://%s/bulletins?after=%d&patience=%d", address, f.last, f.limits.Poll.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -187,10 +227,56 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %s", res.Status)
 	}
-	var p Page
-	if err := json.NewDecoder(io.LimitReader(res.Body, int64(f.limits.Events))).Decode(&p); err != nil {
-		return err
+	watch.Reset(f.limits.Halt)
+	p, cut := readPage(io.LimitReader(res.Body, f.limits.Events), func() { watch.Reset(f.limits.Halt) })
+	if cut == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<10))
+	}
+	return cmp.Or(f.Take(&p, pass), cut)
+}
+
+// readPage reads a page event by event; of one that breaks off, it returns the whole events before the break, and no
+// number. goesOn is called after each.
+func readPage(r io.Reader, goesOn func()) (p Page, cut error) {
+	d := json.NewDecoder(r)
+	no := int64(0)
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		return p, cmp.Or(err, errPage)
+	}
+	for d.More() {
+		name, err := d.Token()
+		switch {
+		case err != nil:
+		case name == "no":
+			err = d.Decode(&no)
+		case name == "items":
+			err = readItems(d, &p.Items, goesOn)
+		default:
+			err = d.Decode(new(json.RawMessage))
+		}
+		if err != nil {
+			return p, err
+		}
+	}
+	if _, err := d.Token(); err != nil {
+		return p, err
+	}
+	p.No = no
+	return p, nil
+}
+
+func readItems(d *json.Decoder, items *[]Item, goesOn func()) error {
+	if t, err := d.Token(); err != nil || t != json.Delim('[') {
+		return cmp.Or(err, errPage)
+	}
+	for d.More() {
+		var it Item
+		if err := d.Decode(&it); err != nil {
+			return err
+		}
+		*items = append(*items, it)
+		goesOn()
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<10))
-	return f.Take(&p, pass)
+	_, err := d.Token()
+	return err
 }
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/bulletin/bulletin_test.go
@@ -1,8 +1,8 @@
 package bulletin
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -21,7 +21,8 @@
 func testFollower() *Follower {
 	l := limits.From(limits.Told{MemoryMB: 64, Sockets: 256})
 	l.Poll, l.Silent, l.Again = 50*time.Millisecond, 200*time.Millisecond, time.Millisecond
-	return New(l, settings.Names{Zones: []string{"west", "east"}, Kinds: []string{"std", "parent"}}, zap.NewNop())
+	l.Halt = 100 * time.Millisecond
+	return New(l, settings.Names{Zones: []string{"west", "east"}, Kinds: []string{"std", "parent"}}, "", zap.NewNop())
 }
 
 func purge(no int) string {
@@ -34,13 +35,9 @@
 
 // told takes a page and prints what is passed on.
 func told(f *Follower, text string) {
-	var p Page
-	if err := json.Unmarshal([]byte(text), &p); err != nil {
-		fmt.Println(err)
-		return
-	}
+	p, cut := readPage(strings.NewReader(text), func() {})
 	err := f.Take(&p, func(what any) { fmt.Printf("%+v; ", what) })
-	fmt.Println(err, f.last)
+	fmt.Println(cmp.Or(err, cut), f.last)
 }
 
 func ExampleFollower_Take() {
@@ -56,6 +53,9 @@
 	  {"uid":"s-3","az":"north","model":"std","state":"ready"},{"uid":"s-4","az":"west","model":"parent","state":"gone"}]}}`))
 	told(f, page(11, `{"no":10,"recall":{"item":"x"}}`, purge(11)))
 	told(f, page(11, purge(11)))
+	told(f, page(13, purge(12), purge(13))[:90]) // breaks off in an event
+	told(f, `{"items":[]}`)                      // not the numbers of a new bulletin
+	told(f, `[1`)
 	told(f, page(1, purge(1))) // the bulletin began anew
 	// Output:
 	// {Nodes:[{Member:{Node:9330572330461544228 State:2 Kind:0 Zone:1 Cell:2 Weight:4 Started:0s} UID:s-1 Address:10.1.0.9:9090 Boot:0001-01-01 00:00:00 +0000 UTC}] All:true}; {Object:9167811660783867477 Group:5 Issued:2025-12-01 08:00:00.123 +0000 UTC}; <nil> 2
@@ -66,14 +66,19 @@
 	// {Nodes:[{Member:{Node:9330569031926659595 State:0 Kind:1 Zone:0 Cell:0 Weight:0 Started:0s} UID:s-4 Address: Boot:0001-01-01 00:00:00 +0000 UTC}] All:false}; <nil> 9
 	// event 10: strconv.ParseUint: parsing "x": invalid syntax 10
 	// {Object:0 Group:11 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 11
+	// {Object:0 Group:12 Issued:2025-12-01 08:00:00.48 +0000 UTC}; unexpected EOF 12
+	// <nil> 12
+	// not a page of events 12
 	// {Object:0 Group:1 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 1
 }
 
-// Every kind of failed poll is tried again, and each event comes once and in order.
+// Every kind of failed poll is tried again, at whichever address, and each event comes once and in order.
 func TestFailedPolls(t *testing.T) {
 	var polls atomic.Int64
 	silent := make(chan struct{})
-	stand := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	f := testFollower()
+	var second *httptest.Server
+	serve := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var after int
 		fmt.Sscan(r.FormValue("after"), &after)
 		switch n := polls.Add(1); {
@@ -87,16 +92,30 @@
 			panic(http.ErrAbortHandler)
 		case n == 5:
 			<-silent
+		case n == 6: // begins, and stays open
+			fmt.Fprint(w, page(after+2, purge(after+1), purge(after+2))[:90])
+			_ = http.NewResponseController(w).Flush()
+			<-silent
+		case n == 7: // moves while it is asked
+			f.Move(second.Listener.Addr().String())
+			<-silent
 		default:
+			if n > 7 && r.Host != second.Listener.Addr().String() {
+				t.Errorf("asked %s", r.Host)
+			}
 			fmt.Fprint(w, page(after+1, purge(after+1)))
 		}
-	}))
-	defer stand.Close()
+	})
+	first := httptest.NewServer(serve)
+	defer first.Close()
+	second = httptest.NewServer(serve)
+	defer second.Close()
 	defer close(silent)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	f.Move(first.Listener.Addr().String())
 	events := make(chan any, 1)
-	go testFollower().Run(ctx, stand.Listener.Addr().String(), func(_ time.Time, what any) {
+	go f.Run(ctx, func(_ time.Time, what any) {
 		select {
 		case events <- what:
 		case <-ctx.Done():
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -44,6 +44,7 @@
 	Forget    time.Duration // until a gone node, or a leg given up, is forgotten: longer than any view lasts
 	Poll      time.Duration // how long the bulletin may hold a poll
 	Silent    time.Duration // until a poll is given up
+	Halt      time.Duration // until one is whose answer has begun and does not go on
 	Again     time.Duration // the first wait after a failed poll; it doubles
 	Late      time.Duration // the longest such wait
 	Pause     time.Duration // between two looks at what has to be tried or awaited
@@ -89,7 +90,7 @@
 		Open: 32, Waiting: 64, Queue: 4096, Lines: 1024,
 		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 15 * time.Second, Stuck: 5 * time.Second,
 		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
-		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
+		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Halt: 500 * time.Millisecond, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
 		Pause: 5 * time.Millisecond,
 		// The platform kills a router no sooner than the longest hard limit, or 3 s if that is less, and 0.7 s more.
 		Linger: 700 * time.Millisecond, Stop: min(t.LongestHard, 3*time.Second) + 450*time.Millisecond,
