An error counts against a node once another has done the view; breaks at one moment count once

Strangers ask for objects that no node knows; the log of leg ends shows each such view answered 500 by up to six nodes within half a millisecond, each blamed: 258 to 321 errors a router in 25 s, 72 times a good cache or parent out. At fault: blame (rules.go) took every error for the node's. And the end of one connection blamed its node once a leg. Now: an error without a note is kept with the view; the next node tells. If it does the view, the first is blamed; if it fails it alike, the view is at fault and is turned back after two legs, a column of the table. Breaks within 20 ms count once. Test: Example_viewsOwnFault; A and B are out in it without the change.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -50,6 +50,7 @@
 	endPlace                // the cache is full, or has no place for a fill
 	endCache                // the cache failed
 	endLate                 // no answer in time
+	endView                 // another node failed it alike: it is the view's own fault
 	endings
 )
 
@@ -71,14 +72,14 @@
 // steps says what follows when a leg has ended without an answer. Where a next stage cannot be gone to (no
 // such node, no budget, not in time), fill and start go on to a later one or give up.
 var steps = [stages][endings]step{
-	//            lacks                source               origin         place       cache       late
-	stageHome:   {{stageOrigin, fill}, {stageOrigin, fill}, stop, next, next, stop},
-	stageRelay:  {{stageHome, fill}, {stageHome, fill}, {stageHome, fill}, next, next, stop},
-	stageHeld:   {{stageHome, fill}, {stageOrigin, fill}, stop, next, next, stop},
-	stageOrigin: {stop, {stageHome, fill}, stop, next, next, stop},
-	stageDirect: {next, next, stop, next, next, stop},
-	stageLook:   {stop, stop, stop, stop, next, stop},
-	stageOwn:    {stop, stop, stop, stop, stop, stop},
+	//            lacks                source               origin         place       cache       late  view
+	stageHome:   {{stageOrigin, fill}, {stageOrigin, fill}, stop, next, next, stop, stop},
+	stageRelay:  {{stageHome, fill}, {stageHome, fill}, {stageHome, fill}, next, next, stop, stop},
+	stageHeld:   {{stageHome, fill}, {stageOrigin, fill}, stop, next, next, stop, stop},
+	stageOrigin: {stop, {stageHome, fill}, stop, next, next, stop, stop},
+	stageDirect: {next, next, stop, next, next, stop, stop},
+	stageLook:   {stop, stop, stop, stop, next, stop, stop},
+	stageOwn:    {stop, stop, stop, stop, stop, stop, stop},
 }
 
 // ended tells from an answer what failed. Without notes only the outcome speaks.
@@ -115,7 +116,7 @@
 	v := &r.views[i]
 	r.arrived++
 	*v = view{id: e.View, tariff: e.Tariff, object: e.Object, group: e.Group, open: true, end: r.now + e.Left,
-		cache: none, sending: usual.get(), hash: mix(uint64(e.Object) ^ uint64(e.Part)*0x9e3779b97f4a7c15)}
+		cache: none, erred: none, sending: usual.get(), hash: e.hash()}
 	r.byID[e.View] = i
 	m := r.recall(v)
 	v.sized = e.KB > 0 && r.set.FlowKB > 0 && !t.Write
@@ -147,10 +148,9 @@
 // start sends a view by the ordinary path: the ring's cache, the former owner if the slot moved, the parent.
 func (r *Router) start(v *view) {
 	v.cache = r.pick(v)
-	if r.fill(v, stageRelay) || v.cache == none && r.set.Direct && r.direct(v) {
-		return
+	if !r.fill(v, stageRelay) && (v.cache != none || !r.set.Direct || !r.direct(v)) {
+		r.giveUp(v)
 	}
-	r.giveUp(v)
 }
 
 // fill sends the view to its cache with the source of the stage, or of a later stage where that one cannot be
@@ -343,8 +343,8 @@
 		return
 	}
 	t := &r.set.Tariffs[v.tariff]
-	// What the caches cannot give in time, a copy of the router's own may: where it keeps copies, it is asked last, so
-	// that they learn of every view. Guards against lost, cold and crowded caches of whatever cause.
+	// What the caches cannot give in time, a copy of the router's own may; it is asked last, so that they learn
+	// of every view. Guards against lost, cold and crowded caches of whatever cause.
 	if r.own != none && t.Effect == Harmless && !t.Write && !r.asked(v, r.own) && r.inTime(v, r.own, none) &&
 		r.send(v, stageOwn, r.own, r.own, 0) {
 		return
@@ -377,6 +377,9 @@
 	}
 	r.report(l.node, &e.Report)
 	end := ended(e)
+	if end == endCache && e.Outcome == Errored && v.erred != none && v.erred != l.node {
+		end = endView
+	}
 	if e.Outcome == Succeeded {
 		r.learn(v, l, e)
 	} else {
@@ -422,6 +425,9 @@
 func (r *Router) learn(v *view, l *leg, e *Event) {
 	n, t, row := &r.nodes[l.node], &r.set.Tariffs[v.tariff], &r.rows[v.tariff]
 	r.good(l.node, l.sent, e.Note == NoteHit)
+	if v.erred != none {
+		r.bad(v.erred, badSoft)
+	}
 	if t.Write {
 		row.usual.add(e.Took, 0.1)
 		return
@@ -499,8 +505,9 @@
 // calm is the load below which a cache's link is taken to run at full pace.
 const calm = 0.8
 
-// blame tells nodes and gate apart as the cause of a failure. Notes say which; a source that was heard of
-// since the leg went out, and took its time to fail, was itself waiting for the origin.
+// blame tells nodes, gate and view apart as the cause of a failure. Notes say which; a source heard of since
+// the leg went out, that took its time to fail, was itself waiting for the origin. An error without a note
+// counts once another node has done the view: guards against clients that ask for what no node can do.
 func (r *Router) blame(v *view, l *leg, e *Event, end ending) {
 	n := &r.nodes[l.node]
 	if l.node == r.origin {
@@ -511,13 +518,17 @@
 	}
 	switch end {
 	case endCache:
-		by := badHard
-		if e.Outcome == Errored || e.Outcome == Broken {
-			by = badSoft
+		switch {
+		case e.Outcome == Errored:
+			v.erred = l.node // the next node that it is sent to tells whose fault it is
+		case e.Outcome != Broken:
+			r.bad(l.node, badHard)
+		case r.now-n.broke >= together:
+			n.broke = r.now
+			r.bad(l.node, badSoft)
 		}
-		r.bad(l.node, by)
 		return
-	case endLate:
+	case endLate, endView:
 		return
 	case endPlace:
 		n.full = r.now + fullFor
@@ -540,10 +551,11 @@
 	n.heard = r.now
 }
 
+// together is how far apart breaks tell of a node more than once: what ends a connection ends many legs.
 // fullFor is how long a cache that turned a view away is asked for no fills: some transfers end meanwhile.
 // overdue is how far past twice its predicted time a leg may be before silence counts: a short pause of a
 // node or a resent packet should fit.
-const fullFor, overdue = 100 * ms, 150 * ms
+const together, fullFor, overdue = 20 * ms, 100 * ms, 150 * ms
 
 // lookOver sends writes again, and finds overdue legs. One whose node, or source, has shown no sign of life
 // since it was sent gets a second copy by another way. Guards against silent caches and parents (vanished,
@@ -687,19 +699,6 @@
 	return float64(mix(hash^0xc01d)>>11)/(1<<53) < r.warm(n)
 }
 
-// warm is the part of its capacity that a node surely gives by now.
-func (r *Router) warm(n int32) float64 {
-	d := &r.nodes[n]
-	least, over := r.set.ColdShare, r.set.ColdFor
-	if d.role == roleParent {
-		least, over = r.set.ParentColdShare, r.set.ParentColdFor
-	}
-	if age := r.now - d.started; d.role != roleOrigin && age < over {
-		return least + (1-least)*max(0, float64(age))/float64(over)
-	}
-	return 1
-}
-
 // coldSafety is the part of a cold node's budget that all routers together allow themselves: chance must fit
 // too. guessCarries stands for what a warm one carries before any was seen to. carriesFor is the span over
 // which this is measured by a router alone; one of many sees less and takes longer, to carriesMost.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -332,6 +332,51 @@
 	//   0.62s view 4: leg to B, fill from P
 }
 
+// Found on depot-records: clients ask for what no node can do, and all nodes say so. Each view is turned back once two have,
+// and no node goes out; one that errs where another does not goes out, and what ends many legs at once counts once.
+func Example_viewsOwnFault() {
+	b := newBench(plain(), cacheA, cacheB)
+	o := b.first(cacheA, parentP)
+	b.mute = true
+	for id := ViewID(1); id <= 8; id++ {
+		b.view(id, 0, o)
+		b.end(id, cacheA, ms, Errored, NoteNone)
+		b.end(id, cacheB, ms, Errored, NoteNone)
+	}
+	b.mute = false
+	b.view(9, 0, o)
+	b.end(9, cacheA, ms, Errored, NoteNone)
+	b.end(9, cacheB, ms, Errored, NoteNone)
+	b.mute = true
+	for id := ViewID(10); id <= 16; id++ {
+		b.view(id, 0, o)
+	}
+	for id := ViewID(10); id <= 16; id++ {
+		b.end(id, cacheA, 0, Broken, NoteNone)
+		b.end(id, cacheB, 0, Succeeded, NoteHit)
+	}
+	b.mute = false
+	for id := ViewID(17); id <= 21; id++ {
+		b.view(id, 0, o)
+		if id < 20 {
+			b.end(id, cacheA, ms, Errored, NoteNone)
+		}
+		b.end(id, cacheB, 100*ms, Succeeded, NoteHit)
+	}
+	// Output:
+	//   0.02s view 9: leg to A, fill from P
+	//   0.02s view 9: leg to B, fill from P
+	//   0.02s view 9: turned back
+	//   0.02s view 17: leg to A, fill from P
+	//   0.02s view 17: leg to B, fill from P
+	//   0.12s view 18: leg to A, fill from P
+	//   0.12s view 18: leg to B, fill from P
+	//   0.22s view 19: leg to A, fill from P
+	//   0.22s view 19: leg to B, fill from P
+	//   0.32s view 20: leg to B, fill from P
+	//   0.42s view 21: leg to B, fill from P
+}
+
 // Found on branch-library grown: all caches break some connections, none is lost. They go out one by one, and then health
 // is not asked; one that answers from a kept copy is not taken for restarted.
 func Example_brokenEverywhere() {
--- a/rules/state.go
+++ b/rules/state.go
@@ -41,6 +41,7 @@
 	drag    float64       // usual length of a fill's body over its prediction
 	carries rate          // sending time a second that it has answered in
 	next    time.Duration // while it is cold: nothing from this router before
+	broke   time.Duration // when a connection to it last broke
 	load    float64       // its last report of how busy it is
 	seen    int           // last walk of a ring that met it
 }
@@ -75,6 +76,7 @@
 	streaming bool
 	stage     stage
 	cache     int32 // the cache whose turn it is
+	erred     int32 // the node that failed it without saying why
 	legs      [maxLegs]leg
 	n, outs   int
 }
@@ -251,6 +253,9 @@
 	}
 }
 
+// hash is the place of a view's object on the rings.
+func (e *Event) hash() uint64 { return mix(uint64(e.Object) ^ uint64(e.Part)*0x9e3779b97f4a7c15) }
+
 func (r *Router) recall(v *view) *memo {
 	if m := &r.memory[v.hash%memorySize]; m.key == v.hash {
 		return m
@@ -351,6 +356,19 @@
 	return none
 }
 
+// warm is the part of its capacity that a node surely gives by now.
+func (r *Router) warm(n int32) float64 {
+	d := &r.nodes[n]
+	least, over := r.set.ColdShare, r.set.ColdFor
+	if d.role == roleParent {
+		least, over = r.set.ParentColdShare, r.set.ParentColdFor
+	}
+	if age := r.now - d.started; d.role != roleOrigin && age < over {
+		return least + (1-least)*max(0, float64(age))/float64(over)
+	}
+	return 1
+}
+
 // part is this router's part of the traffic of a node.
 func (r *Router) part(n int32) float64 {
 	if r.nodes[n].role == roleCache {
