The gate counts a parent's silence once, and not the clients that leave early

A print of each failure counted at the gate, with its line: six overdue fills from the lost parent counted within 0.4 s (lookOver) took the window from 24 to 2.8, where chance decides; and 200 writes that a client gave up at once counted 200 times (blame). Ruled out: the origin (others' waits 40 to 130 ms), strangers' errors (one at the origin). Now: an overdue fill counts against the gate once for each silence of its parent; a cancelled leg to the origin only past its due time. Test: Example_gateBelieves; without the change its fills go to the other parent, holds-only.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -261,12 +261,11 @@
 		return false
 	}
 	r.charge(v, n, 1)
-	l := leg{node: n, source: src, sent: r.now, out: true, ran: true}
+	l := leg{node: n, source: src, sent: r.now, out: true, ran: true, held: how&HowHoldsOnly != 0}
 	l.expect, l.duty, l.filled = r.predict(v, n, src)
 	if l.filled {
 		r.charge(v, src, 1)
 	}
-	l.held = how&HowHoldsOnly != 0
 	if !l.held && src != n && r.nodes[src].role != roleCache && !t.Write {
 		l.gate = float64(r.gate.wait+ms) / float64(r.gate.wait+v.sending+ms)
 		if src != r.origin && v.stage != stageHeld {
@@ -511,7 +510,7 @@
 func (r *Router) blame(v *view, l *leg, e *Event, end ending) {
 	n := &r.nodes[l.node]
 	if l.node == r.origin {
-		if end != endLacks {
+		if end != endLacks && (e.Outcome != Cancelled || r.now >= v.due) { // a client that left early tells nothing
 			r.gate.fail(r.now)
 		}
 		return
@@ -559,7 +558,7 @@
 
 // lookOver sends writes again, and finds overdue legs. One whose node, or source, has shown no sign of life
 // since it was sent gets a second copy by another way. Guards against silent caches and parents (vanished,
-// cut off, stalled). It may cost a double transfer when a node merely pauses for long.
+// cut off, stalled); the gate counts a parent's silence once. A node's long pause may cost a double transfer.
 func (r *Router) lookOver() {
 	for i := range r.views {
 		v := &r.views[i]
@@ -578,8 +577,9 @@
 			}
 			silent := none
 			switch {
-			case v.sized && l.filled && l.gate > 0 && !l.slow && age > 2*v.sending+r.gate.wait:
-				l.slow = true
+			case v.sized && l.filled && l.gate > 0 && !l.slow && age > 2*v.sending+r.gate.wait &&
+				(l.source == r.origin || r.nodes[l.source].slow <= r.nodes[l.source].heard):
+				l.slow, r.nodes[l.source].slow = true, r.now
 				r.gate.learn(age, true, r.now)
 				continue
 			case !l.held && age < 2*(l.expect+r.gate.wait)+overdue && l.filled:
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -332,6 +332,34 @@
 	//   0.62s view 4: leg to B, fill from P
 }
 
+// Found on depot-records: a parent falls silent, and clients send writes by the hundred and give them up at once. Neither
+// says much of the origin: what lacks its parent is filled from there at once.
+func Example_gateBelieves() {
+	b := newBench(plain(), cacheA, cacheB)
+	b.mute = true
+	for id := ViewID(1); id <= 80; id++ {
+		b.view(id, 1, ObjectID(id))
+		b.pass(20 * ms)
+		b.do(&Event{Kind: EventGone, View: id})
+	}
+	o := b.first(cacheA, parentP)
+	for id := ViewID(101); id <= 105; id++ {
+		b.view(id, 0, o)
+		for hit, c := range []NodeID{cacheA, cacheB} { // the caches are well
+			b.view(id*10+ViewID(hit), 0, b.first(c, parentQ))
+			b.end(id*10+ViewID(hit), c, 60*ms, Succeeded, NoteHit)
+		}
+	}
+	b.mute = false
+	for id := ViewID(201); id <= 203; id++ {
+		b.view(id, 0, o)
+	}
+	// Output:
+	//   2.20s view 201: leg to A, fill from origin
+	//   2.20s view 202: leg to A, fill from origin
+	//   2.20s view 203: leg to A, fill from origin
+}
+
 // Found on depot-records: clients ask for what no node can do, and all nodes say so. Each view is turned back once two have,
 // and no node goes out; one that errs where another does not goes out, and what ends many legs at once counts once.
 func Example_viewsOwnFault() {
--- a/rules/state.go
+++ b/rules/state.go
@@ -41,6 +41,7 @@
 	drag    float64       // usual length of a fill's body over its prediction
 	carries rate          // sending time a second that it has answered in
 	next    time.Duration // while it is cold: nothing from this router before
+	slow    time.Duration // when a fill from it was last counted at the gate as late
 	broke   time.Duration // when a connection to it last broke
 	load    float64       // its last report of how busy it is
 	seen    int           // last walk of a ring that met it
