Strangers hold no place: messages come whole in time, an open id stands for one object

Seen: reading the front beside the protocol. A connection that says nothing, or half a message, rested for 15 s (3 s is what a stranger is owed); where places ran out any resting connection was ended at random, a usual client's too; after what can't be read the views before it were still served; a repeated field, a 'ver' of any form, a size or time without bound and an open id with another object were passed on. Now: the first message, or one that has begun, is to be whole after 2 s (a usual one comes in one go); a connection rests for 6 s; where places run out the one that rests longest goes, one that never asked counted as a second longer. What can't be read fails all that is open on its connection and ends it. Fields come once, and each in its one form. Tests: TestIdsOpen, TestUntil, TestBadViews, TestTooManyClients, TestBadClients; each new line fails on the code before.

--- a/cmd/fennelarch/serve_test.go
+++ b/cmd/fennelarch/serve_test.go
@@ -353,7 +353,7 @@
 func (c *client) view(kind string, object, timeout int, body string) string {
 	c.tag++
 	tag := strconv.Itoa(c.tag)
-	fields := fmt.Sprintf("req=%016x,timeout=%d,subject=%016x,piece=0,lot=1,need=30,ver=abc", time.Now().UnixNano(), timeout, object)
+	fields := fmt.Sprintf("req=%016x,timeout=%d,subject=%016x,piece=0,lot=1,need=30,ver=00000000000000bc", time.Now().UnixNano(), timeout, object)
 	c.write(frame("DO", tag, kind, fields, body))
 	return tag
 }
@@ -403,7 +403,7 @@
 		t.Errorf("%q", got)
 	}
 	q := cache.got("fetch")[0]
-	if q.fields["class"] != "clip" || q.fields["next"] != "s-parent" || q.fields["cached"] != "abc" || q.fields["part"] != "0" {
+	if q.fields["class"] != "clip" || q.fields["next"] != "s-parent" || q.fields["cached"] != "00000000000000bc" || q.fields["part"] != "0" {
 		t.Errorf("%v", q.fields)
 	}
 	await(t, "a probe", func() bool { c.expect(c.view("clip", 1, 2000, ""), "OK"); return len(cache.got("stats")) > 0 })
@@ -648,14 +648,15 @@
 		bad := f.client().read()
 		tag := bad.view("clip", 1, 2000, "")
 		bad.write(rubbish)
-		bad.expect(tag, "OK")
+		bad.expect(tag, "") // the one answer; never one to what came after rubbish
 		await(t, "the end of the connection", func() bool {
 			bad.mu.Lock()
 			defer bad.mu.Unlock()
 			return bad.over
 		})
 	}
-	f.client().write("*4\r\n$2\r\nDO\r\n$1") // and silence
+	half, mute, begun := f.client().read(), f.client().read(), time.Now()
+	half.write("*4\r\n$2\r\nDO\r\n$1") // and silence
 	deaf := f.client()                       // reads nothing
 	for object := range 32 {
 		deaf.view("clip", object+1, 2000, "")
@@ -663,6 +664,16 @@
 	for range 20 {
 		c.expect(c.view("clip", 1, 2000, ""), "OK")
 	}
+	for _, bad := range []*client{half, mute} {
+		await(t, "the end of a silent connection", func() bool {
+			bad.mu.Lock()
+			defer bad.mu.Unlock()
+			return bad.over
+		})
+	}
+	if took := time.Since(begun); took > 3*time.Second {
+		t.Errorf("silent connections stay for %v", took)
+	}
 }
 
 // At SIGTERM all that is taken is answered, what still comes too, and then the program ends by itself.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -35,7 +35,7 @@
 // New returns a server; what clients want goes to post.
 func New(l limits.Limits, n settings.Names, tariffs []rules.Tariff, post func(at time.Time, what any)) *Server {
 	s := &Server{post: post, conns: map[*conn]bool{}}
-	s.shared.limits, s.shared.tariffs = l, map[string]rules.TariffID{}
+	s.shared.limits, s.shared.tariffs, s.shared.open = l, map[string]rules.TariffID{}, map[engine.Ident]claim{}
 	for i, name := range n.Tariffs {
 		s.shared.tariffs[name] = rules.TariffID(i)
 		s.shared.writes = append(s.shared.writes, tariffs[i].Write)
@@ -73,25 +73,33 @@
 	}
 	c := &conn{Conn: up, server: l.server}
 	c.change = sync.NewCond(&c.mu)
-	c.session = newSession(&l.server.shared, c)
+	c.session = newSession(&l.server.shared, c, time.Now())
 	s := l.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) >= s.shared.limits.Clients {
-		_ = s.resting(c).Conn.Close()
+		rests := s.resting(c)
+		_ = rests.Conn.Close()
+		delete(s.conns, rests)
+		if rests == c {
+			return c, nil
+		}
 	}
 	s.conns[c] = true
 	return c, nil
 }
 
-// resting is a connection on which nothing is open or to be written, or the one given.
+// resting is the connection on which nothing is open or to be written for the longest, or the one given. One that has not
+// asked for anything yet goes before those that have, unless it has only just come.
 func (s *Server) resting(c *conn) *conn {
+	var longest time.Time
+	found := c
 	for o := range s.conns {
-		if o.rests() {
-			return o
+		if since, rests := o.rests(); rests && (found == c || since.Before(longest)) {
+			found, longest = o, since
 		}
 	}
-	return c
+	return found
 }
 
 // conn is one client connection.
@@ -126,10 +134,14 @@
 	c.unlock()
 }
 
-func (c *conn) rests() bool {
+func (c *conn) rests() (since time.Time, rests bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.session.idle()
+	since = c.session.begun
+	if !c.session.asked {
+		since = since.Add(-c.server.shared.limits.Fresh)
+	}
+	return since, c.session.idle()
 }
 
 // Read is called by redcon's goroutine of the connection. It does all the reading and returns when the connection is
@@ -142,9 +154,7 @@
 	c.session.over()
 	events := c.session.take()
 	c.unlock()
-	for _, e := range events {
-		c.server.post(time.Now(), e)
-	}
+	c.tell(time.Now(), events)
 	s := c.server
 	s.mu.Lock()
 	delete(s.conns, c)
@@ -155,15 +165,20 @@
 // read takes what comes next, and says whether more may come.
 func (c *conn) read() bool {
 	c.mu.Lock()
-	space := c.session.space()
+	space, until := c.session.space(), c.session.until(time.Now())
 	c.mu.Unlock()
-	_ = c.Conn.SetReadDeadline(time.Now().Add(c.server.shared.limits.Rest))
+	_ = c.Conn.SetReadDeadline(until)
 	n, err := c.Conn.Read(space)
 	now := time.Now()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.mu.Lock()
-		defer c.unlock()
-		return !c.session.rest()
+		rests, events := c.session.rest(), c.session.take()
+		c.unlock()
+		c.tell(now, events)
+		if rests {
+			c.await(func() bool { return c.session.idle() })
+		}
+		return !rests
 	}
 	if err != nil {
 		return false
@@ -174,9 +189,7 @@
 		events := c.session.take()
 		full := c.session.full()
 		c.unlock()
-		for _, e := range events {
-			c.server.post(now, e)
-		}
+		c.tell(now, events)
 		switch {
 		case bad != nil: // what is open has its answer yet
 			c.await(func() bool { return c.session.idle() })
@@ -189,6 +202,12 @@
 	}
 }
 
+func (c *conn) tell(at time.Time, events []any) {
+	for _, e := range events {
+		c.server.post(at, e)
+	}
+}
+
 func (c *conn) await(so func() bool) {
 	c.mu.Lock()
 	for !so() {
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -13,7 +13,7 @@
 // Clients that only sit there make room for those that come; where all are busy, the new one is closed. What is in
 // hand goes on.
 func TestTooManyClients(t *testing.T) {
-	l := limits.From(limits.Told{MemoryMB: 64, Sockets: 256, Streams: 100})
+	l := limits.From(limits.Told{MemoryMB: 64, Sockets: 256, Streams: 100, LongestHard: 5 * time.Second})
 	l.Clients, l.Rest = 3, 200*time.Millisecond
 	s := New(l, settings.Names{Tariffs: []string{"clip"}}, []rules.Tariff{{}}, func(time.Time, any) {})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -40,6 +40,19 @@
 			t.Fatalf("%q", got)
 		}
 	}
+	usual, _ := ask(frame("PING", "1"))
+	for range 6 { // they never ask
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	_, _ = usual.Write([]byte(frame("PING", "2")))
+	_ = usual.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if n, err := usual.Read(make([]byte, 100)); err != nil || n != len(up) {
+		t.Errorf("a client that rests loses its place to those who never ask: %v", err)
+	}
 	for range 3 { // busy from now on: a view is open on each
 		if _, got := ask(frame("PING", "1") + do(2, "")); got != up {
 			t.Fatalf("%q", got)
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -9,6 +9,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,39 @@
 	writes  []bool
 	views   atomic.Uint64
 	held    atomic.Int64 // bytes of answers that wait
+
+	mu   sync.Mutex
+	open map[engine.Ident]claim // views of all connections
+}
+
+// claim says what a view's id stands for while it is open, and how often.
+type claim struct {
+	object rules.ObjectID
+	part   int
+	times  int
+}
+
+// claim takes a view's id into use; one that stands for something else at the moment can't be.
+func (s *shared) claim(a *engine.Ask) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.open[a.Ident]
+	if c.times > 0 && (c.object != a.Object || c.part != a.Part) {
+		return false
+	}
+	s.open[a.Ident] = claim{a.Object, a.Part, c.times + 1}
+	return true
+}
+
+func (s *shared) release(id engine.Ident) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.open[id]
+	if c.times--; c.times > 0 {
+		s.open[id] = c
+	} else {
+		delete(s.open, id)
+	}
 }
 
 // session is one client connection.
@@ -38,11 +72,14 @@
 	dec    resp.Decoder
 	out    resp.Writer
 
-	open    map[engine.Tag]rules.ViewID // by tag
-	waiting []answer                    // nothing of them is in the stream
-	putting int64                       // length of the body that is being put into the stream
+	open    map[engine.Tag]*engine.Ask // by tag
+	waiting []answer                   // nothing of them is in the stream
+	putting int64                      // length of the body that is being put into the stream
 	closed  bool
 	events  []any // *engine.Ask and engine.Gone, to be taken by the driver
+
+	asked bool      // a whole message has come
+	begun time.Time // when the one that is coming began, or the last one or the connection came
 }
 
 type answer struct {
@@ -52,30 +89,53 @@
 	body   []byte
 }
 
-func newSession(s *shared, client engine.Client) *session {
+func newSession(s *shared, client engine.Client, now time.Time) *session {
 	l := &s.limits
-	return &session{shared: s, client: client, in: resp.Ring{Bound: l.ClientIn}, out: resp.Writer{Ring: resp.Ring{Bound: l.ClientOut}},
+	return &session{shared: s, client: client, begun: now, in: resp.Ring{Bound: l.ClientIn}, out: resp.Writer{Ring: resp.Ring{Bound: l.ClientOut}},
 		dec:  resp.Decoder{Args: l.Strings, Size: l.ClientIn - 2*l.Fields, Most: l.ClientIn},
-		open: map[engine.Tag]rules.ViewID{}}
+		open: map[engine.Tag]*engine.Ask{}}
 }
 
 // space is where what comes next is to be read into; got says how much came and when.
 func (s *session) space() []byte { return s.in.Tail() }
 
 func (s *session) got(n int, now time.Time) error {
+	if s.asked && s.in.Len() == 0 {
+		s.begun = now
+	}
 	s.in.Commit(n)
 	for !s.full() {
 		args, err := s.dec.Next(&s.in)
-		if args == nil || err != nil {
-			return err
+		if err == nil && args != nil {
+			s.asked, s.begun = true, now
+			err = s.command(args, now)
+		}
+		if err != nil {
+			s.refuse()
 		}
-		if err := s.command(args, now); err != nil {
+		if args == nil || err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// until is when the connection has rested for too long, or what comes first, or has begun to come, should be whole.
+func (s *session) until(now time.Time) time.Time {
+	if !s.asked || s.in.Len() > 0 {
+		return s.begun.Add(s.shared.limits.Whole)
+	}
+	return now.Add(s.shared.limits.Rest)
+}
+
+// refuse fails all that is open: the client sent what can't be read, so no answer of its would be known for what it is.
+func (s *session) refuse() {
+	for _, tag := range slices.Sorted(maps.Keys(s.open)) {
+		s.events = append(s.events, engine.Gone{View: s.open[tag].View})
+		s.answer(tag, engine.Answer{Verdict: engine.Terminated})
+	}
+}
+
 // full says that the client must read before more of it is taken.
 func (s *session) full() bool { return len(s.waiting) >= s.shared.limits.Waiting }
 
@@ -103,12 +163,12 @@
 		s.say(answer{tag: string(args[1]), word: "UP"})
 	case "DO":
 		a := s.ask(args[2:])
-		if a == nil || len(s.open) >= s.shared.limits.Open {
+		if a == nil || len(s.open) >= s.shared.limits.Open || !s.shared.claim(a) {
 			s.say(answer{tag: string(args[1]), word: "FAILED"})
 			return nil
 		}
 		a.View, a.Client, a.Tag, a.At = rules.ViewID(s.shared.views.Add(1)), s.client, tag, now
-		s.open[tag] = a.View
+		s.open[tag] = a
 		s.events = append(s.events, a)
 	default:
 		s.say(answer{tag: string(args[1]), word: "FAILED"})
@@ -118,9 +178,9 @@
 
 // undo gives a view up; an answer of which nothing is in the stream yet is taken back.
 func (s *session) undo(tag engine.Tag) {
-	if view, open := s.open[tag]; open {
-		delete(s.open, tag)
-		s.events = append(s.events, engine.Gone{View: view})
+	if a, open := s.open[tag]; open {
+		s.shut(tag)
+		s.events = append(s.events, engine.Gone{View: a.View})
 		return
 	}
 	text := strconv.FormatUint(uint64(tag), 10)
@@ -132,6 +192,11 @@
 	})
 }
 
+func (s *session) shut(tag engine.Tag) {
+	s.shared.release(s.open[tag].Ident)
+	delete(s.open, tag)
+}
+
 func (s *session) say(a answer) { s.waiting = append(s.waiting, a) }
 
 // ask reads a view, or returns nothing if it can't be used.
@@ -145,8 +210,13 @@
 	}
 	a := &engine.Ask{Tariff: tariff, Write: s.shared.writes[tariff], Left: -1}
 	var ok, ident, object bool
+	var seen []string
 	for name, value, rest := []byte(nil), []byte(nil), args[1]; len(rest) > 0; {
 		name, value, rest = resp.Field(rest)
+		if slices.Contains(seen, string(name)) {
+			return nil
+		}
+		seen = append(seen, string(name))
 		switch string(name) {
 		case "req":
 			var n uint64
@@ -154,10 +224,10 @@
 			a.Ident, ok = engine.Ident(n), ident
 		case "timeout":
 			var ms uint64
-			ms, ok = number(value, math.MaxInt32)
+			ms, ok = number(value, uint64(s.shared.limits.Timeout.Milliseconds()))
 			a.Left = time.Duration(ms) * time.Millisecond
 		case "resent":
-			a.Repeat, ok = string(value) == "1", true
+			a.Repeat, ok = true, string(value) == "1"
 		case "subject":
 			var o uint64
 			o, object = id(value)
@@ -173,9 +243,10 @@
 		case "need":
 			var err error
 			a.KB, err = strconv.ParseFloat(string(value), 64)
-			ok = err == nil && a.KB >= 0 && !math.IsInf(a.KB, 0)
+			ok = err == nil && a.KB >= 0 && a.KB <= s.shared.limits.KB
 		case "ver":
-			a.Have, ok = string(value), true
+			a.Have = string(value)
+			_, ok = id(value)
 		default:
 			ok = true // a field to come
 		}
@@ -219,7 +290,7 @@
 	if _, open := s.open[tag]; !open {
 		return
 	}
-	delete(s.open, tag)
+	s.shut(tag)
 	w := answer{tag: strconv.FormatUint(uint64(tag), 10), word: "FAILED"}
 	switch {
 	case a.Verdict == engine.Succeeded && a.Unchanged:
@@ -262,9 +333,9 @@
 func (s *session) over() {
 	s.closed = true
 	for _, tag := range slices.Sorted(maps.Keys(s.open)) {
-		s.events = append(s.events, engine.Gone{View: s.open[tag]})
+		s.events = append(s.events, engine.Gone{View: s.open[tag].View})
+		s.shut(tag)
 	}
-	clear(s.open)
 	for _, w := range s.waiting {
 		s.putting += int64(len(w.body))
 	}
@@ -272,11 +343,15 @@
 	s.waiting, s.putting = nil, 0
 }
 
-// rest gives memory back while nothing is to be done, and says whether the connection may be closed.
+// rest gives memory back while nothing is to be done, and says whether the connection may be closed: so it is where what
+// should be whole by now is not.
 func (s *session) rest() bool {
 	s.in.Release()
 	s.out.Release()
-	return s.idle()
+	if s.in.Len() > 0 {
+		s.refuse()
+	}
+	return s.in.Len() > 0 || s.idle()
 }
 
 // take hands over what the client wants.
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -14,9 +14,9 @@
 )
 
 func testSession() *session {
-	s := &shared{limits: limits.From(limits.Told{MemoryMB: 6, Sockets: 256, Streams: 100}),
-		tariffs: map[string]rules.TariffID{"clip": 0, "signoff": 1}, writes: []bool{false, true}}
-	return newSession(s, nil)
+	s := &shared{limits: limits.From(limits.Told{MemoryMB: 6, Sockets: 256, Streams: 100, LongestHard: 5 * time.Second}),
+		tariffs: map[string]rules.TariffID{"clip": 0, "signoff": 1}, writes: []bool{false, true}, open: map[engine.Ident]claim{}}
+	return newSession(s, nil, time.Time{})
 }
 
 func frame(words ...string) string { return string(resp.AppendWords(nil, words...)) }
@@ -111,7 +111,10 @@
 		frame("DO", "1", "clip", strings.Replace(asked, "lot=17", "lot=256", 1)),
 		frame("DO", "1", "clip", strings.Replace(asked, "412.5", "NaN", 1)),
 		frame("DO", "1", "clip", strings.Replace(asked, "412.5", "-1", 1)),
-		frame("DO", "1", "clip", strings.Replace(asked, "412.5", "1e999", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "412.5", "1e300", 1)),
+		frame("DO", "1", "clip", strings.Replace(asked, "4be0", "4\r\n0", 1)), frame("DO", "1", "clip", asked+",ver=4be0c1927d55a6f3"),
+		frame("DO", "1", "clip", asked+",req=9b1f03aa5c7e2d42"), frame("DO", "1", "clip", asked+",resent=2"),
+		frame("DO", "1", "clip", strings.Replace(asked, "1500", "3600000", 1)),
 		do(1, strings.Repeat("x", 48_001)), frame("UNDO", "x"), frame("DO", "0", "clip", asked), frame("DO", "-1", "clip", asked),
 		frame("DO", "", "clip", asked),
 	}
@@ -129,12 +132,57 @@
 	}
 	for _, stream := range []string{"GET / HTTP/1.1\r\n", "*2\r\n$4\r\nPING\r\n$99999999\r\n", frame("PING"), do(9, ""), frame("PING", "9")} {
 		s := testSession()
-		if got, err := s.hear(do(9, "")+stream, 1); err == nil || s.idle() {
-			t.Errorf("%q leaves the connection in use, or its open view out: %s", stream, got)
+		got, err := s.hear(do(9, "")+stream, 1)
+		if s.answer(9, engine.Answer{Body: []byte("late")}); err == nil || !strings.HasSuffix(got, "gone 1; 9 FAILED  ") || !s.idle() {
+			t.Errorf("%q leaves the connection in use, or is served for what went before: %s", stream, got)
 		}
 	}
 }
 
+// The id of an open view stands for its object on all connections, and for no other until the view is over.
+func TestIdsOpen(t *testing.T) {
+	a := testSession()
+	b, other := newSession(a.shared, nil, time.Time{}), strings.Replace(asked, "piece=3", "piece=4", 1)
+	_, _ = a.hear(do(1, "")+do(2, ""), 1<<16)
+	for _, ends := range []func(){func() {}, func() { a.answer(1, engine.Answer{}) }} {
+		if ends(); len(b.words()) > 0 {
+			t.Fatal("an answer to nobody")
+		}
+		if got, _ := b.hear(frame("DO", "1", "clip", other), 1<<16); got != "1 FAILED  " {
+			t.Errorf("another object under an open id: %s", got)
+		}
+	}
+	if got, _ := b.hear(do(2, ""), 1<<16); !strings.HasPrefix(got, "view 2") {
+		t.Errorf("the same object under an open id: %s", got)
+	}
+	_, _ = a.hear(frame("UNDO", "2"), 1<<16)
+	if b.over(); len(a.shared.open) > 0 {
+		t.Errorf("%d ids are kept", len(a.shared.open))
+	}
+}
+
+// A message, the first or one begun, is to come whole in time; a connection with nothing to come may rest for longer.
+func TestUntil(t *testing.T) {
+	s, l := testSession(), testSession().shared.limits
+	start, later := time.Time{}, time.Time{}.Add(time.Minute)
+	if s.until(later) != start.Add(l.Whole) || !s.rest() {
+		t.Error("one that says nothing stays")
+	}
+	_, _ = s.hear(do(1, ""), 9)
+	if s.until(later) != later.Add(l.Rest) || s.rest() {
+		t.Error("one with an open view goes")
+	}
+	if err := s.got(copy(s.space(), "*4\r\n$2\r\nDO"), later); err != nil || s.until(later.Add(time.Second)) != later.Add(l.Whole) {
+		t.Error("half a message may take as long as it likes")
+	}
+	if err := s.got(copy(s.space(), "\r"), later.Add(time.Second)); err != nil || s.until(later.Add(time.Second)) != later.Add(l.Whole) {
+		t.Error("each byte gives it more time")
+	}
+	if rests := s.rest(); !rests || fmt.Sprint(s.words()) != "[1 FAILED  ]" {
+		t.Error("half a message keeps the connection, or its views are left out")
+	}
+}
+
 func TestManyOpen(t *testing.T) {
 	s := testSession()
 	var stream string
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -19,10 +19,12 @@
 	Copied    int // answers on one of them of which a second copy is told from the answer to a further leg
 
 	// Frames and rings, in bytes. Rings grow to these only where they are needed.
-	Strings   int // strings in a frame
-	Request   int // body of a view
-	Object    int // body of an answer
-	Fields    int // any other string
+	Strings   int           // strings in a frame
+	Request   int           // body of a view
+	Object    int           // body of an answer
+	Fields    int           // any other string
+	KB        float64       // size of what a view asks for
+	Timeout   time.Duration // of a view
 	ClientIn  int
 	ClientOut int
 	NodeIn    int
@@ -39,6 +41,8 @@
 	Connect   time.Duration // until a connection to a node is up
 	Idle      time.Duration // until an idle connection to a node is closed
 	Rest      time.Duration // until a client connection is closed on which nothing comes and nothing is open
+	Whole     time.Duration // until one is on which no message was whole yet, or one that has begun is not
+	Fresh     time.Duration // how much longer than one that has asked it counts as resting
 	Stuck     time.Duration // until a peer that reads nothing is cut off
 	Begin     time.Duration // until a leg is on its way, or never goes: the rules count a send from its first byte
 	BeginLate time.Duration // the same to or from a node that is told to leave
@@ -85,11 +89,11 @@
 	return Limits{
 		Cores: t.Cores, Memory: int64(t.MemoryMB) << 20, Sockets: t.Sockets,
 		Clients: t.Sockets * 2 / 5, Nodes: t.Sockets * 2 / 5, NodeConns: t.Sockets / 8, Streams: streams, Copied: 32,
-		Strings: 8, Request: 48_000, Object: 240_000, Fields: 1 << 10,
+		Strings: 8, Request: 48_000, Object: 240_000, Fields: 1 << 10, KB: 1e9, Timeout: 2*t.LongestHard + time.Second,
 		ClientIn: 64 << 10, ClientOut: 32 << 10, NodeIn: 256 << 10, NodeOut: 64 << 10,
 		Copies: t.MemoryMB << 20 / 4, Answers: int64(t.MemoryMB) << 20 / 6, Events: 4 << 20,
 		Open: 32, Waiting: 64, Queue: 4096, Lines: 1024,
-		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 15 * time.Second, Stuck: 5 * time.Second,
+		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second,
 		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
 		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Halt: 500 * time.Millisecond, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
 		Pause: 5 * time.Millisecond,
