--- a/rules/rules.go
+++ b/rules/rules.go
@@ -586,7 +586,7 @@
 				continue // it may well wait for the origin
 			case r.nodes[l.node].heard < l.sent:
 				silent = l.node
-			case !l.filled:
+			case !l.filled && !v.sized:
 				continue
 			case l.source != r.origin && r.set.Tells == TellsAll && r.nodes[l.source].heard < l.sent:
 				silent = l.source
