One way to leave a view and one to fail it; the check of repeated fields makes no strings

Read again: undo, refuse and over each told of a view given up in their own lines; FAILED was worded in four places; the check of repeated fields made a string for each name of each view. Behaviour as before.

--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -4,6 +4,7 @@
 package front
 
 import (
+	"bytes"
 	"errors"
 	"maps"
 	"math"
@@ -131,8 +132,8 @@
 // refuse fails all that is open: the client sent what can't be read, so no answer of its would be known for what it is.
 func (s *session) refuse() {
 	for _, tag := range slices.Sorted(maps.Keys(s.open)) {
-		s.events = append(s.events, engine.Gone{View: s.open[tag].View})
-		s.answer(tag, engine.Answer{Verdict: engine.Terminated})
+		s.leave(tag)
+		s.fail(strconv.FormatUint(uint64(tag), 10))
 	}
 }
 
@@ -148,7 +149,7 @@
 	number, err := strconv.ParseUint(string(args[1]), 10, 64)
 	tag := engine.Tag(number)
 	if err != nil || tag == 0 {
-		s.say(answer{tag: string(args[1]), word: "FAILED"})
+		s.fail(string(args[1]))
 		return nil
 	}
 	if string(args[0]) == "UNDO" {
@@ -164,23 +165,22 @@
 	case "DO":
 		a := s.ask(args[2:])
 		if a == nil || len(s.open) >= s.shared.limits.Open || !s.shared.claim(a) {
-			s.say(answer{tag: string(args[1]), word: "FAILED"})
+			s.fail(string(args[1]))
 			return nil
 		}
 		a.View, a.Client, a.Tag, a.At = rules.ViewID(s.shared.views.Add(1)), s.client, tag, now
 		s.open[tag] = a
 		s.events = append(s.events, a)
 	default:
-		s.say(answer{tag: string(args[1]), word: "FAILED"})
+		s.fail(string(args[1]))
 	}
 	return nil
 }
 
 // undo gives a view up; an answer of which nothing is in the stream yet is taken back.
 func (s *session) undo(tag engine.Tag) {
-	if a, open := s.open[tag]; open {
-		s.shut(tag)
-		s.events = append(s.events, engine.Gone{View: a.View})
+	if _, open := s.open[tag]; open {
+		s.leave(tag)
 		return
 	}
 	text := strconv.FormatUint(uint64(tag), 10)
@@ -192,6 +192,12 @@
 	})
 }
 
+// leave gives an open view up: no answer of the engine's is waited for.
+func (s *session) leave(tag engine.Tag) {
+	s.events = append(s.events, engine.Gone{View: s.open[tag].View})
+	s.shut(tag)
+}
+
 func (s *session) shut(tag engine.Tag) {
 	s.shared.release(s.open[tag].Ident)
 	delete(s.open, tag)
@@ -199,6 +205,8 @@
 
 func (s *session) say(a answer) { s.waiting = append(s.waiting, a) }
 
+func (s *session) fail(tag string) { s.say(answer{tag: tag, word: "FAILED"}) }
+
 // ask reads a view, or returns nothing if it can't be used.
 func (s *session) ask(args [][]byte) *engine.Ask {
 	if len(args) < 2 || len(args) > 3 {
@@ -210,13 +218,13 @@
 	}
 	a := &engine.Ask{Tariff: tariff, Write: s.shared.writes[tariff], Left: -1}
 	var ok, ident, object bool
-	var seen []string
+	seen := make([][]byte, 0, 16) // names, as they lie in the ring
 	for name, value, rest := []byte(nil), []byte(nil), args[1]; len(rest) > 0; {
 		name, value, rest = resp.Field(rest)
-		if slices.Contains(seen, string(name)) {
+		if slices.ContainsFunc(seen, func(s []byte) bool { return bytes.Equal(s, name) }) {
 			return nil
 		}
-		seen = append(seen, string(name))
+		seen = append(seen, name)
 		switch string(name) {
 		case "req":
 			var n uint64
@@ -333,8 +341,7 @@
 func (s *session) over() {
 	s.closed = true
 	for _, tag := range slices.Sorted(maps.Keys(s.open)) {
-		s.events = append(s.events, engine.Gone{View: s.open[tag].View})
-		s.shut(tag)
+		s.leave(tag)
 	}
 	for _, w := range s.waiting {
 		s.putting += int64(len(w.body))
--- a/internal/resp/ring.go
+++ b/internal/resp/ring.go
@@ -110,7 +110,7 @@
 	}
 }
 
-// Shrink does so if it grew past its first size.
+// Shrink gives the memory of an empty ring back if it grew past its first size.
 func (r *Ring) Shrink() {
 	if len(r.buf) > least {
 		r.Release()
