Shared stores: the decisions, the carrier, the operator's file with its schema

Users want Redis as a shared store (RESP2). A leg to a store becomes gets, leases, fills and sets, decided in rules/store (tables of stages and modes, budgets of a cold store, a ledger of purges that grows only), carried by internal/store, switched by the operator's file. Off without the file.

--- a/cmd/fennelarch/main.go
+++ b/cmd/fennelarch/main.go
@@ -6,30 +6,53 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"strings"
 
 	"github.com/alecthomas/kong"
 
+	"fennelarch/internal/operator"
 	"fennelarch/internal/settings"
 )
 
 // version is the release; the revision is added where the build knows it.
 const version = "0.1.0"
 
-type serveCmd struct{}
+type serveCmd struct {
+	Operator string `help:"The operator's own file: what this installation has beyond the platform." env:"RELAY_OPERATOR" placeholder:"FILE"`
+}
+
+type checkCmd struct {
+	Operator string `help:"The operator's own file, which is checked too." env:"RELAY_OPERATOR" placeholder:"FILE"`
+}
 
-type checkCmd struct{}
+type schemaCmd struct{}
 
 type versionCmd struct{}
 
-func (serveCmd) Run() error { return serve() }
+func (s serveCmd) Run() error { return serve(s.Operator) }
 
-func (checkCmd) Run() error {
+func (schemaCmd) Run() error {
+	_, err := os.Stdout.Write(operator.Schema)
+	return err
+}
+
+func (k checkCmd) Run() error {
 	c, err := settings.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
+	own, err := operator.Load(k.Operator)
+	if err != nil {
+		return err
+	}
+	if err := fits(own, c); err != nil {
+		return err
+	}
 	fmt.Printf("%s on %s: %d tariffs, %g cores, %d MB, %d sockets\n", c.Name, c.Listen, len(c.Rules.Tariffs), c.Cores, c.MemoryMB,
 		c.Sockets)
+	for _, s := range own.Stores {
+		fmt.Printf("store %s at %s\n", s.UID, strings.Join(s.Addresses, ", "))
+	}
 	return nil
 }
 
@@ -51,6 +74,7 @@
 	var cli struct {
 		Serve   serveCmd   `cmd:"" help:"Run one router, as the environment tells: RELAY_NAME, RELAY_LISTEN, RELAY_CONFIG."`
 		Check   checkCmd   `cmd:"" help:"Read the configuration, say what it holds, and end."`
+		Schema  schemaCmd  `cmd:"" help:"Print the JSON schema of the operator's file."`
 		Version versionCmd `cmd:"" help:"Print the version."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("fennelarch"),
--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -23,11 +23,12 @@
 	"fennelarch/internal/engine"
 	"fennelarch/internal/front"
 	"fennelarch/internal/limits"
+	"fennelarch/internal/operator"
 	"fennelarch/internal/settings"
 	"fennelarch/rules"
 )
 
-func serve() error {
+func serve(path string) error {
 	// From the first moment on: by default either signal would end the program.
 	again, stop := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
@@ -36,6 +37,13 @@
 	if err != nil {
 		return err
 	}
+	own, err := operator.Load(path)
+	if err != nil {
+		return err
+	}
+	if err := fits(own, c); err != nil {
+		return err
+	}
 	told := limits.Told{Cores: c.Cores, MemoryMB: c.MemoryMB, Sockets: c.Sockets, Streams: c.Names.Streams,
 		Connect: c.Rules.ConnectLimit, Idle: c.Names.Idle, Drain: c.Rules.DrainGrace, Purge: c.Rules.PurgeGrace}
 	for _, t := range c.Rules.Tariffs {
@@ -51,8 +59,10 @@
 
 	var eng *engine.Engine
 	post := func(at time.Time, what any) { eng.Post(at, what) }
-	pool := back.New(lim, c.Names, c.Rules.Reports == rules.ViaProbe, post, log)
-	eng = engine.New(c.Rules, c.Seed, lim.Queue, time.Now(), pool,
+	start := time.Now()
+	stores := newStores(own, c, lim, start, post, log)
+	pool := back.New(lim, c.Names, c.Rules.Reports == rules.ViaProbe, stores.inner(post), log)
+	eng = engine.New(c.Rules, c.Seed, lim.Queue, start, stores.over(pool),
 		engine.Own{Bytes: lim.Copies, Flow: c.Flow, Link: c.Link, Forget: lim.Forget}, log)
 	eng.Start(0)
 	server := front.New(lim, c.Names, c.Rules.Tariffs, post)
@@ -64,7 +74,8 @@
 		}
 	}
 	follower := bulletin.New(lim, c.Names, c.Bulletin, log)
-	if err := follower.Take(&known, func(what any) { eng.Handle(0, engine.Event{What: what}) }); err != nil {
+	stores.follow(follower)
+	if err := follower.Take(&known, func(what any) { eng.Handle(0, engine.Event{What: stores.told(what)}) }); err != nil {
 		return fmt.Errorf("configuration: known: %w", err)
 	}
 
@@ -73,8 +84,12 @@
 		return err
 	}
 	done := make(chan struct{}) // never: the engine answers to the last
-	go eng.Run(done, lim.Summary, func(n engine.Counts) { summary(log, n, server.Count(), pool.Count()) })
-	go follower.Run(context.Background(), post)
+	go eng.Run(done, lim.Summary, func(n engine.Counts) {
+		summary(log, n, server.Count(), pool.Count())
+		stores.summary(log)
+	})
+	go stores.run(context.Background())
+	go follower.Run(context.Background(), func(at time.Time, what any) { post(at, stores.told(what)) })
 	go func() { _ = server.Serve(ln) }()
 	log.Info("started", zap.String("listen", c.Listen), zap.Float64("cores", lim.Cores), zap.Int64("memory", lim.Memory),
 		zap.Int("sockets", lim.Sockets))
@@ -83,6 +98,7 @@
 		select {
 		case <-again:
 			reload(follower, log)
+			own = stores.reload(path, own, c, log)
 		case <-stop: // a second order changes nothing
 			running = false
 		}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -70,6 +69,9 @@
 	last   int64 // number of the last event that was passed on
 	gap    int64 // number before which one is missing, as seen in the last page
 
+	Current func(asOf time.Time) // if set, is called when all that was told before a moment has been passed on
+	Gap     func()               // if set, is called when something was told that will never be
+
 	mu      sync.Mutex
 	address string
 	drop    context.CancelFunc // ends what is asked at this address, or the pause after it
@@ -101,13 +103,6 @@
 	return stay, f.address, f.drop
 }
 
-// NodeID is the id of a node: a hash of its uid, so that all routers agree on it.
-func NodeID(uid string) rules.NodeID {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(uid))
-	return rules.NodeID(max(1, h.Sum64()))
-}
-
 var states = map[string]rules.State{"gone": rules.Gone, "ready": rules.Ready, "draining": rules.Draining}
 
 // Take passes on the events of a page that are new. Where one is missing, what follows waits for the next page; if it is
@@ -116,6 +111,7 @@
 	if p.No > 0 && p.No < f.last {
 		f.log.Warn("bulletin went back", zap.Int64("from", f.last), zap.Int64("to", p.No))
 		f.last = 0
+		f.lost()
 	}
 	for _, it := range p.Items {
 		if it.No <= f.last {
@@ -126,6 +122,9 @@
 			f.gap = it.No
 			return nil
 		}
+		if it.No == f.gap {
+			f.lost()
+		}
 		what, err := f.read(&it)
 		f.last = it.No
 		if err != nil {
@@ -138,6 +137,12 @@
 	return nil
 }
 
+func (f *Follower) lost() {
+	if f.Gap != nil {
+		f.Gap()
+	}
+}
+
 func (f *Follower) read(it *Item) (any, error) {
 	switch {
 	case it.Roster != nil:
@@ -150,7 +155,7 @@
 					zap.String("zone", t.Zone))
 				continue
 			}
-			n := engine.Node{UID: t.UID, Address: t.Addr, Member: rules.Member{Node: NodeID(t.UID), State: state,
+			n := engine.Node{UID: t.UID, Address: t.Addr, Member: rules.Member{Node: engine.NodeID(t.UID), State: state,
 				Kind: rules.KindID(kind), Zone: rules.ZoneID(zone), Cell: rules.CellID(t.Cell), Weight: t.Weight}}
 			if t.Boot > 0 {
 				n.Boot = time.UnixMilli(int64(t.Boot)).UTC()
@@ -210,6 +215,7 @@
 // poll asks once and takes what comes. An answer that is late, or once begun does not go on, is given up; the whole
 // events before its end are good all the same.
 func (f *Follower) poll(stay context.Context, client *http.Client, address string, pass func(any)) error {
+	begun := time.Now()
 	ctx, giveUp := context.WithCancel(stay)
 	defer giveUp()
 	watch := time.AfterFunc(f.limits.Silent, giveUp)
@@ -232,7 +238,13 @@
 	if cut == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<10))
 	}
-	return cmp.Or(f.Take(&p, pass), cut)
+	if err := cmp.Or(f.Take(&p, pass), cut); err != nil {
+		return err
+	}
+	if f.Current != nil && f.last >= p.No {
+		f.Current(begun)
+	}
+	return nil
 }
 
 // readPage reads a page event by event; of one that breaks off, it returns the whole events before the break, and no
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/heap"
+	"hash/fnv"
 	"math"
 	"sync/atomic"
 	"time"
@@ -75,6 +76,7 @@
 
 	Carrier any // the carrier's own
 
+	At   time.Time // when it was sent
 	sent time.Duration
 	done bool
 }
@@ -108,6 +110,13 @@
 	Boot    time.Time // zero: long ago
 }
 
+// NodeID is the id of a node: a hash of its uid, so that all routers agree on it.
+func NodeID(uid string) rules.NodeID {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(uid))
+	return rules.NodeID(max(1, h.Sum64()))
+}
+
 // Probed is the answer to a probe.
 type Probed struct {
 	Node    rules.NodeID
@@ -475,7 +484,8 @@
 }
 
 func (e *Engine) send(v *view, a *rules.Action) {
-	l := &Leg{Ask: v.ask, No: rules.LegNo(len(v.legs)), Node: a.Node, Wait: v.end - e.now, Age: a.Age, Keep: a.Keep, How: a.How, sent: e.now}
+	l := &Leg{Ask: v.ask, No: rules.LegNo(len(v.legs)), Node: a.Node, Wait: v.end - e.now, Age: a.Age, Keep: a.Keep, How: a.How,
+		At: e.wall(), sent: e.now}
 	if a.Kind == rules.ActionGet && a.Source != a.Node {
 		l.Source = a.Source
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -38,25 +38,26 @@
 	Queue   int // events that wait for the engine
 	Lines   int // lines that wait for the log
 
-	Connect   time.Duration // until a connection to a node is up
-	Idle      time.Duration // until an idle connection to a node is closed
-	Rest      time.Duration // until a client connection is closed on which nothing comes and nothing is open
-	Whole     time.Duration // until one is on which no message was whole yet, or one that has begun is not
-	Fresh     time.Duration // how much longer than one that has asked it counts as resting
-	Stuck     time.Duration // until a peer that reads nothing is cut off
-	Begin     time.Duration // until a leg is on its way, or never goes: the rules count a send from its first byte
-	BeginLate time.Duration // the same to or from a node that is told to leave
-	Forget    time.Duration // until a gone node, or a leg given up, is forgotten: longer than any view lasts
-	Poll      time.Duration // how long the bulletin may hold a poll
-	Silent    time.Duration // until a poll is given up
-	Halt      time.Duration // until one is whose answer has begun and does not go on
-	Again     time.Duration // the first wait after a failed poll; it doubles
-	Late      time.Duration // the longest such wait
-	Pause     time.Duration // between two looks at what has to be tried or awaited
-	Linger    time.Duration // how long new views come after the order to stop
-	Stop      time.Duration // until the last view has its answer after it
-	Flush     time.Duration // and until the last answer, or line of the log, is written
-	Summary   time.Duration // between two summary lines
+	Connect     time.Duration // until a connection to a node is up
+	Idle        time.Duration // until an idle connection to a node is closed
+	Rest        time.Duration // until a client connection is closed on which nothing comes and nothing is open
+	Whole       time.Duration // until one is on which no message was whole yet, or one that has begun is not
+	Fresh       time.Duration // how much longer than one that has asked it counts as resting
+	Stuck       time.Duration // until a peer that reads nothing is cut off
+	StoreSilent time.Duration // until a store of which nothing is heard is cut off
+	Begin       time.Duration // until a leg is on its way, or never goes: the rules count a send from its first byte
+	BeginLate   time.Duration // the same to or from a node that is told to leave
+	Forget      time.Duration // until a gone node, or a leg given up, is forgotten: longer than any view lasts
+	Poll        time.Duration // how long the bulletin may hold a poll
+	Silent      time.Duration // until a poll is given up
+	Halt        time.Duration // until one is whose answer has begun and does not go on
+	Again       time.Duration // the first wait after a failed poll; it doubles
+	Late        time.Duration // the longest such wait
+	Pause       time.Duration // between two looks at what has to be tried or awaited
+	Linger      time.Duration // how long new views come after the order to stop
+	Stop        time.Duration // until the last view has its answer after it
+	Flush       time.Duration // and until the last answer, or line of the log, is written
+	Summary     time.Duration // between two summary lines
 }
 
 // Told is what the configuration and the settings say.
@@ -93,7 +94,7 @@
 		ClientIn: 64 << 10, ClientOut: 32 << 10, NodeIn: 256 << 10, NodeOut: 64 << 10,
 		Copies: t.MemoryMB << 20 / 4, Answers: int64(t.MemoryMB) << 20 / 6, Events: 4 << 20,
 		Open: 32, Waiting: 64, Queue: 4096, Lines: 1024,
-		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second,
+		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, StoreSilent: time.Second,
 		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
 		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Halt: 500 * time.Millisecond, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
 		Pause: 5 * time.Millisecond,
--- /dev/null
+++ b/rules/store/iface.go
@@ -0,0 +1,133 @@
+// Package store decides how a shared store is used as a node of a location: when it is asked, written or passed by, how
+// much may be out at once, what one just started may be asked, who fills a miss, and which copy is proved newer than
+// every purge. It is free of I/O, clocks and goroutines: it is told events and times and hands back what to do.
+// table.go holds what follows what, store.go the loop that reads it, health.go limits and budgets, ledger.go purges.
+// This file holds only the types through which a carrier drives it.
+package store
+
+import (
+	"time"
+
+	"fennelarch/rules"
+)
+
+// OpID is one leg to a store: the carrier numbers them from 1.
+type OpID uint64
+
+// Stamp is a time by the Unix clock, in milliseconds; 0 is none.
+type Stamp int64
+
+// Settings are what the decisions are told at the start.
+type Settings struct {
+	Routers    int           // that share the store, this one counted
+	Capacity   float64       // commands a second of a warm store, 0 where untold
+	ColdShare  float64       // of its capacity just after its start
+	ColdFor    time.Duration // until it has all of it, in a straight line
+	Multiple   float64       // of the capacity of the moment that all routers together may ask of a cold one
+	Most       int           // commands out at once, whatever the answer times
+	Bytes      int           // the longest value
+	Life       time.Duration // the longest that a copy may stay in the store
+	DrainGrace time.Duration
+	Lease      bool  // misses of one object at several routers become one fill
+	Epoch      Stamp // the Unix time at which the carrier's clock was 0
+}
+
+// Reply is how a command ended at the store.
+type Reply uint8
+
+const (
+	ReplyNone     Reply = iota
+	ReplyHit            // a whole value of ours; Born
+	ReplyMiss           // no value
+	ReplySpoilt         // a value that is cut, foreign, corrupt or of a newer form
+	ReplyDone           // a lease or a set was taken
+	ReplyTaken          // another has the lease
+	ReplyLoading        // the store reads its data in
+	ReplyFull           // no memory for a value
+	ReplyReadOnly       // it takes no values
+	ReplyDenied         // it wants another user or word
+	ReplyBusy           // it runs something long
+	ReplyMoved          // the key belongs to another store
+	ReplyOdd            // any other refusal
+	ReplyBroken         // the connection ended first, or there was none
+)
+
+// EventKind says what happened; the comment names the fields that are set.
+type EventKind uint8
+
+const (
+	EventAsk    EventKind = iota // Op Node Object Part Group Source Held Due Left Age
+	EventGot                     // Op Reply Born Took
+	EventLeased                  // Op Reply Took
+	EventFilled                  // Op Outcome Note Waited Took Born Size
+	EventSet                     // Op Reply Took
+	EventCancel                  // Op: the leg was given up
+	EventTimer                   // Op Timer
+	EventUp                      // Node Run Age: a connection is up; the store's run, and how long it has run
+	EventDown                    // Node: no connection can be had
+	EventState                   // Node State: what the list says of any node
+	EventLost                    // Node: the store lost its data without a new run
+)
+
+// Event is what the decisions are told.
+type Event struct {
+	Kind    EventKind
+	Op      OpID
+	Node    rules.NodeID
+	Source  rules.NodeID
+	Held    bool // the source gives only what it holds
+	Object  rules.ObjectID
+	Part    int
+	Group   rules.GroupID
+	Due     time.Duration // until the view's due time
+	Left    time.Duration // until the leg is given up
+	Age     time.Duration // the oldest copy that will do, 0: any
+	Keep    time.Duration // how long a copy of this tariff is good, 0: until purged
+	Reply   Reply
+	Outcome rules.Outcome
+	Note    rules.Note
+	Waited  time.Duration
+	Took    time.Duration
+	Born    Stamp
+	Size    int // of the body
+	Run     uint64
+	State   rules.State
+	Timer   uint64
+}
+
+// ActionKind says what is to be done; the comment names the fields that are set.
+type ActionKind uint8
+
+const (
+	ActionGet      ActionKind = iota // Op
+	ActionLease                      // Op Wait: for how long
+	ActionUnlease                    // Op
+	ActionFill                       // Op Age: from the leg's source
+	ActionDropFill                   // Op: give it up
+	ActionSet                        // Op Wait: how long it stays
+	ActionEnd                        // Op From Outcome Note Waited: the leg is over; From has the copy
+	ActionForget                     // Op: nothing of it comes any more
+	ActionTimer                      // Op Wait Timer
+	ActionCold                       // Node Wait: it started so long ago
+	ActionLog                        // Node Text
+)
+
+// Action is what the decisions want done, in the order given.
+type Action struct {
+	Kind    ActionKind
+	Op      OpID
+	From    OpID
+	Node    rules.NodeID
+	Wait    time.Duration
+	Age     time.Duration
+	Outcome rules.Outcome
+	Note    rules.Note
+	Waited  time.Duration
+	Timer   uint64
+	Text    string
+}
+
+// Counts is what was decided so far.
+type Counts struct {
+	Gets, Hits, Misses, Spoilt, Old, Fills, Passed, Joined, Leases, Waits, Sets, Refused, Overdue uint64
+}
