Laboratory: stand-ins of a store and of a site, experiments on the shared store

The store needs proof against real routers: stand-ins of a RESP2 store and of caches, parents, origin and bulletin, an open loop of clients, a judge of the five rules, and the first experiments.

--- /dev/null
+++ b/cmd/fennelab/main.go
@@ -0,0 +1,102 @@
+// Command fennelab plays experiments on real routers among stand-ins, on this machine's loopback alone. This file owns its
+// command line; the experiments are those of internal/lab.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"maps"
+
+	"github.com/alecthomas/kong"
+
+	"fennelarch/internal/lab"
+)
+
+type listCmd struct{}
+
+type runCmd struct {
+	Name    string  `arg:"" help:"The experiment; 'fennelab list' names them."`
+	Seed    uint64  `default:"1" help:"What chance is drawn from; the same seed gives the same script."`
+	Scale   float64 `default:"1" help:"Of rates and durations; 1 is what docs/results.md tells."`
+	Routers int     `help:"How many routers, where the experiment leaves it open; 0: its own choice."`
+	Out     string  `type:"path" placeholder:"DIR" help:"Where the result is written, as NAME-SEED.json."`
+	JSON    bool    `name:"json" help:"Print the result as JSON."`
+}
+
+type upCmd struct {
+	Bulletin string `default:"127.0.0.1:7070" help:"Where the bulletin listens."`
+}
+
+func (listCmd) Run() error {
+	for _, e := range lab.Experiments() {
+		fmt.Printf("%-20s %s\n", e.Name, e.Shows)
+	}
+	return nil
+}
+
+var errClaim = errors.New("a claim did not hold")
+
+func (c runCmd) Run() error {
+	o := lab.Options{Seed: c.Seed, Scale: c.Scale, Routers: c.Routers}
+	if !c.JSON {
+		o.Note = os.Stderr
+	}
+	r, err := lab.Run(c.Name, o)
+	if err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	if c.Out != "" {
+		if err := os.MkdirAll(c.Out, 0o755); err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(c.Out, fmt.Sprintf("%s-%d.json", c.Name, c.Seed)), append(text, '\n'), 0o644); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		fmt.Println(string(text))
+	} else {
+		print(r)
+	}
+	if !r.Held() {
+		return errClaim
+	}
+	return nil
+}
+
+func print(r *lab.Result) {
+	for _, name := range slices.Sorted(maps.Keys(r.Figures)) {
+		fmt.Printf("  %-44s %10.3f\n", name, r.Figures[name])
+	}
+	for _, c := range r.Claims {
+		word := "held"
+		if !c.Held {
+			word = "FAILED"
+		}
+		fmt.Printf("%-6s %s: %s\n", word, c.Name, c.Told)
+	}
+}
+
+func (c upCmd) Run() error { return lab.Up(c.Bulletin, os.Stdout) }
+
+func main() {
+	var cli struct {
+		List listCmd `cmd:"" help:"List the experiments."`
+		Run  runCmd  `cmd:"" help:"Run an experiment; exit code 0 only if every claim held."`
+		Up   upCmd   `cmd:"" help:"Start the stand-ins of deploy/example.json and of deploy/operator.example.json, until interrupted."`
+	}
+	ctx := kong.Parse(&cli, kong.Name("fennelab"), kong.Description("Experiments on real routers among stand-ins, on loopback."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "fennelab:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/lab/scene.go
@@ -0,0 +1,398 @@
+package lab
+
+// This file owns a scene: a site, a store, routers and clients, put together for one arm of an experiment, the load that
+// is played on it, and what was seen of it in the end.
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"fennelarch/internal/standin/depot"
+	"fennelarch/internal/standin/redis"
+)
+
+// Setup says what a scene is made of.
+type Setup struct {
+	Settings Settings
+	Store    *redis.Config  // none: there is no store
+	Shared   map[string]any // of the operator's file
+	Listed   bool           // the list names the store
+	Boxes    int
+	Objects  int
+	Groups   int
+	Skew     float64 // of popularity, over 1
+	SizeKB   float64 // the middle of sizes
+	Origin   depot.Times
+	Parents  depot.Times
+}
+
+// Scene is one arm of an experiment.
+type Scene struct {
+	Setup
+	Seed    uint64
+	Site    *depot.Site
+	Store   *redis.Store
+	Origin  *depot.Node
+	Parents []*depot.Node
+	Boxes   []*depot.Node
+	Routers []*Router
+	Clients []*Clients
+	Begun   time.Time
+
+	folder string
+	sizes  []float64 // KB by object
+	purges []purge
+	drains map[string]time.Time
+	errs   []error
+}
+
+type purge struct {
+	object uint64
+	group  int
+	at     time.Time
+}
+
+const storeUID = "s-redis"
+
+// NewScene starts everything but the routers.
+func NewScene(seed uint64, set Setup) (*Scene, error) {
+	s := &Scene{Setup: set, Seed: seed, drains: map[string]time.Time{}}
+	sized := distuv.LogNormal{Mu: math.Log(max(1, set.SizeKB)), Sigma: 0.6, Src: rand.NewPCG(seed, 4)}
+	for range set.Objects + 1 {
+		s.sizes = append(s.sizes, min(1500, sized.Rand()))
+	}
+	s.Site = depot.NewSite(func(o depot.Object) int { return s.bytes(o.ID) }, s.group)
+	var err error
+	if s.folder, err = os.MkdirTemp("", "fennelab"); err != nil {
+		return nil, err
+	}
+	if s.Origin, err = s.Site.Add("s-origin", depot.Origin, 8, set.Origin, seed+1); err != nil {
+		return nil, err
+	}
+	lines := []depot.Line{s.Origin.Line("ready")}
+	for i := range 2 {
+		p, err := s.Site.Add(fmt.Sprintf("s-parent-%d", i), depot.Parent, 8, set.Parents, seed+2+uint64(i))
+		if err != nil {
+			return nil, err
+		}
+		s.Parents = append(s.Parents, p)
+		lines = append(lines, p.Line("ready"))
+	}
+	for i := range set.Boxes {
+		b, err := s.Site.Add(fmt.Sprintf("s-box-%d", i), depot.Cache, 8, depot.Times{Answer: time.Millisecond}, seed+5+uint64(i))
+		if err != nil {
+			return nil, err
+		}
+		s.Boxes = append(s.Boxes, b)
+		lines = append(lines, b.Line("ready"))
+	}
+	if set.Store != nil {
+		c := *set.Store
+		c.Seed = seed
+		if s.Store, err = redis.Start(c); err != nil {
+			return nil, err
+		}
+		if set.Listed {
+			lines = append(lines, s.storeLine("ready"))
+		}
+	}
+	s.Site.Board.List(true, lines...)
+	return s, nil
+}
+
+func (s *Scene) storeLine(state string) depot.Line {
+	return depot.Line{UID: storeUID, Address: s.Store.Address(), Zone: "west", Kind: depot.Cache, State: state, Weight: 8}
+}
+
+// bytes is an object's size on the socket: a fifteenth of what it stands for, as on the bench's platform.
+func (s *Scene) bytes(id uint64) int { return max(80, int(s.kb(id)*1024/15)) }
+
+func (s *Scene) kb(id uint64) float64 { return s.sizes[int(id)%len(s.sizes)] }
+
+func (s *Scene) group(id uint64) int { return int(id) % max(1, s.Groups) }
+
+// operator is the operator's file of the scene.
+func (s *Scene) operator() string {
+	if s.Store == nil {
+		return ""
+	}
+	text, _ := json.Marshal(map[string]any{
+		"stores": []map[string]any{{"uid": storeUID, "addresses": []string{s.Store.Address()}, "listed": s.Listed, "weight": 8, "prefix": "lab:"}},
+		"shared": s.Shared})
+	return string(text)
+}
+
+// Start starts so many more routers, side by side.
+func (s *Scene) Start(n int) error {
+	program, err := Program()
+	if err != nil {
+		return err
+	}
+	from := len(s.Routers)
+	for i := from; i < from+n; i++ {
+		r, err := NewRouter(program, s.folder, fmt.Sprintf("n%d", i), s.Seed*1000+uint64(i), s.Settings, s.Site.Board.Address,
+			s.Site.Board.Known(), s.operator())
+		if err != nil {
+			return err
+		}
+		s.Routers = append(s.Routers, r)
+		s.Clients = append(s.Clients, NewClients(i, r.Address, s.Seed*1000+uint64(i)))
+	}
+	errs := make(chan error, n)
+	for _, r := range s.Routers[from:] {
+		go func() { errs <- r.Start() }()
+	}
+	for range n {
+		err = cmpErr(err, <-errs)
+	}
+	s.Begun = time.Now()
+	return err
+}
+
+func cmpErr(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// Load is an open loop of views: they come when they come, whatever became of those before.
+type Load struct {
+	Rate   float64 // views a second at each router
+	For    time.Duration
+	Writes float64 // the part that are signoffs
+	Only   uint64  // if not 0: all views are for this object
+	Single bool    // each object is asked for once
+}
+
+// Play plays a load on all routers and returns when the last view has been sent.
+func (s *Scene) Play(l Load) {
+	var wait sync.WaitGroup
+	for i, c := range s.Clients {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			s.play(i, c, l)
+		}()
+	}
+	wait.Wait()
+}
+
+func (s *Scene) play(i int, c *Clients, l Load) {
+	src := rand.New(rand.NewPCG(s.Seed*77+uint64(i), uint64(l.Rate*1000)))
+	gaps := distuv.Exponential{Rate: l.Rate, Src: src}
+	popular := rand.NewZipf(src, max(1.01, s.Skew), 4, uint64(max(1, s.Objects-1)))
+	begun, at, n := time.Now(), time.Duration(0), uint64(0)
+	for {
+		at += time.Duration(gaps.Rand() * float64(time.Second))
+		if at >= l.For {
+			return
+		}
+		id := popular.Uint64() + 1
+		n++
+		switch {
+		case l.Only != 0:
+			id = l.Only
+		case l.Single:
+			id = uint64(i+1)*1_000_000 + n
+		}
+		write := src.Float64() < l.Writes
+		time.Sleep(time.Until(begun.Add(at)))
+		s.Ask(i, begun.Add(at), id, write)
+	}
+}
+
+// Ask sends one view to a router.
+func (s *Scene) Ask(router int, meant time.Time, id uint64, write bool) *View {
+	c := s.Clients[router]
+	if write {
+		return c.Ask(meant, "signoff", depot.Object{ID: id}, s.group(id), 4, 3*time.Second, 700*time.Millisecond, "signed")
+	}
+	kb := s.kb(id)
+	due := time.Duration((s.Settings.DueMS + 1.6*1000*kb/s.Settings.FlowKB) * float64(time.Millisecond))
+	return c.Ask(meant, "clip", depot.Object{ID: id}, s.group(id), kb, time.Duration(s.Settings.HardMS)*time.Millisecond, due, "")
+}
+
+// Purge purges an object, or a group where it is 0.
+func (s *Scene) Purge(object uint64, group int) {
+	s.purges = append(s.purges, purge{object, group, s.Site.Purge(object, group)})
+}
+
+// Drain tells that the store is to be left alone.
+func (s *Scene) Drain(uid string, line depot.Line) {
+	s.Site.Board.List(false, line)
+	s.drains[uid] = time.Now()
+}
+
+// Seen is what came of a scene.
+type Seen struct {
+	Views, Served, InTime, TurnedBack, Failed, Lost, Twice, Late int
+	Stale, Wrong, RanTwice, AfterDrain                           int
+	Fills                                                        int // that the origin was asked for
+	Times                                                        *hdrhistogram.Histogram
+	CPU                                                          time.Duration // of all routers
+	PeakMB                                                       float64       // of the one that used most
+	Files                                                        int
+	Store                                                        redis.Counts
+	Errors                                                       []string
+}
+
+// Share is the part of views that were served by their due time.
+func (n *Seen) Share() float64 { return float64(n.InTime) / float64(max(1, n.Views)) }
+
+// P is a percentile of the time to a served answer, in milliseconds.
+func (n *Seen) P(percent float64) float64 { return float64(n.Times.ValueAtQuantile(percent)) / 1000 }
+
+// End settles the clients, ends the routers and the stand-ins, and returns what was seen. Views are judged by the five
+// rules from what clients and stand-ins saw.
+func (s *Scene) End() *Seen {
+	var wait sync.WaitGroup
+	for _, c := range s.Clients {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			c.Settle()
+		}()
+	}
+	wait.Wait()
+	n := &Seen{Times: hdrhistogram.New(1, 60_000_000, 3)}
+	for _, r := range s.Routers {
+		if !r.Killed.IsZero() {
+			continue
+		}
+		u := r.Use()
+		n.CPU += u.CPU
+		n.PeakMB, n.Files = max(n.PeakMB, u.PeakMB), max(n.Files, u.Files)
+	}
+	errs := make(chan error, len(s.Routers))
+	for _, r := range s.Routers {
+		go func() { errs <- r.Stop() }()
+	}
+	for range s.Routers {
+		if err := <-errs; err != nil {
+			s.errs = append(s.errs, err)
+		}
+	}
+	if s.Store != nil {
+		n.Store = s.Store.Counts()
+		s.Store.Close()
+	}
+	s.Site.Close()
+	for _, c := range s.Clients {
+		for _, v := range c.Views() {
+			s.judge(n, v)
+		}
+	}
+	for _, a := range s.Origin.Asked() {
+		if !a.Write {
+			n.Fills++
+		}
+	}
+	s.judgeDrains(n)
+	for _, err := range s.errs {
+		n.Errors = append(n.Errors, err.Error())
+	}
+	if os.Getenv("FENNELAB_KEEP") == "" {
+		_ = os.RemoveAll(s.folder)
+	}
+	return n
+}
+
+// slack is what the system itself may add to a time.
+const slack = 50 * time.Millisecond
+
+func (s *Scene) judge(n *Seen, v *View) {
+	r := s.Routers[v.Router]
+	if v.Sent.IsZero() {
+		n.Failed++
+		n.Views++
+		return
+	}
+	n.Views++
+	killed := !r.Killed.IsZero() && v.Sent.Before(r.Killed) && (v.Answers == 0 || v.Answered.After(r.Killed))
+	switch {
+	case v.Answers > 1:
+		n.Twice++
+	case v.Answers == 0 && !killed:
+		n.Lost++
+		return
+	case v.Answers == 0:
+		n.Failed++
+		return
+	}
+	if v.Answered.Sub(v.Sent) > v.Timeout+slack {
+		n.Late++
+	}
+	switch v.Word {
+	case "OK":
+		n.Served++
+		_ = n.Times.RecordValue(max(1, v.Took().Microseconds()))
+		if v.InTime() {
+			n.InTime++
+		}
+	case "BUSY":
+		n.TurnedBack++
+	default:
+		n.Failed++
+	}
+	if v.Tariff != "clip" {
+		if s.Site.Ran(v.Req) > 1 || v.Word == "BUSY" && s.Site.Ran(v.Req) > 0 {
+			n.RanTwice++
+		}
+		return
+	}
+	if v.Word != "OK" {
+		return
+	}
+	o, born, whole := depot.Read(v.Body)
+	if !whole || o != v.Object {
+		n.Wrong++
+		return
+	}
+	for _, p := range s.purges {
+		if (p.object == v.Object.ID || p.object == 0 && p.group == s.group(v.Object.ID)) && v.Sent.After(p.at.Add(s.Settings.Grace+slack)) &&
+			!born.After(p.at) {
+			n.Stale++
+			return
+		}
+	}
+}
+
+func (s *Scene) judgeDrains(n *Seen) {
+	for uid, told := range s.drains {
+		over := told.Add(s.Settings.Grace + slack)
+		for _, nodes := range [][]*depot.Node{s.Parents, s.Boxes} {
+			for _, d := range nodes {
+				for _, a := range d.Asked() {
+					if a.At.After(over) && (d.UID == uid && a.By == "" || a.Source == uid) {
+						n.AfterDrain++
+					}
+				}
+			}
+		}
+	}
+}
+
+// pick is a seeded choice among the objects asked for most.
+func (s *Scene) pick(r *rand.Rand, most int) uint64 {
+	return uint64(1 + r.IntN(max(1, min(most, s.Objects))))
+}
+
+// Stocks are the routers' own words on their store, for the report only; no claim rests on them.
+func (s *Scene) Stocks() []string {
+	var lines []string
+	for _, r := range s.Routers {
+		lines = append(lines, tail(r.Log(), 600))
+	}
+	slices.Sort(lines)
+	return lines
+}
