A leg waits for another's fill no longer than views' decisions take it for overdue

The lease is half a fill longer than nearly all fills, the wait ends 100 ms past a usual fill, and what waited reads as joined, so that nothing is learned of store or source from it.

--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -216,7 +216,7 @@
 			for i, c := range s.Clients {
 				for _, v := range c.Views() {
 					if v.Req == a.View && s.Routers[i].Killed.IsZero() {
-						s.Routers[i].Kill()
+						s.Kill(i)
 						return
 					}
 				}
@@ -265,7 +265,7 @@
 				s.Store.Set(redis.Fault{})
 			case step == 120: // all that know are gone at once
 				for k := range s.Routers {
-					s.Routers[k].Kill()
+					s.Kill(k)
 				}
 				s.Purge(s.pick(rng, 60), 0)
 				for k := range s.Routers {
@@ -291,7 +291,7 @@
 
 // restart kills a router and starts it again; it is told only what the bulletin still lists: the nodes.
 func (s *Scene) restart(i int) {
-	s.Routers[i].Kill()
+	s.Kill(i)
 	s.again(i)
 }
 
--- a/rules/store/store.go
+++ b/rules/store/store.go
@@ -184,11 +184,16 @@
 // joinSlack is how much sooner a leg may be due than the one it joins: a fill's usual time differs by as much.
 const joinSlack = 50 * ms
 
-// patience is how long a leg may wait for what somebody else does: so long that a fill of its own would still be in time.
+// patience is how long a leg may wait for what somebody else does: so long that a fill of its own would still be in time,
+// and no longer than waitMost past the usual time of a fill.
 func (k *Keeper) patience(o *op) time.Duration {
-	return max(0, o.due-k.now-k.fillIn.high())
+	return max(0, min(o.due-k.now-k.fillIn.high(), o.asked+k.fillIn.usual()+waitMost-k.now))
 }
 
+// waitMost: the views' decisions take a leg for overdue 150 ms past twice its prediction, send another copy and blame its
+// source; a fill begun after the wait must end before that. Found when holders were killed: the origin's gate shut.
+const waitMost = 100 * ms
+
 func (k *Keeper) take() int32 {
 	if n := len(k.free); n > 0 {
 		i := k.free[n-1]
@@ -301,7 +306,8 @@
 			k.get(n, i)
 		}
 	case serve:
-		k.end(i, o.id, rules.Succeeded, rules.NoteHit, 0)
+		note, waited := k.waited(o, rules.NoteHit, 0)
+		k.end(i, o.id, rules.Succeeded, note, waited)
 	case lease:
 		k.lease(i)
 	case wait:
@@ -319,7 +325,7 @@
 	case lack:
 		k.lack(i, e[0])
 	case share:
-		k.end(i, k.giver, rules.Succeeded, rules.NoteJoined, 0)
+		k.end(i, k.giver, rules.Succeeded, rules.NoteJoined, k.now-o.asked)
 	case again:
 		if lead, open := k.byKey[o.key]; open && lead != i {
 			k.join(i, lead)
@@ -395,10 +401,10 @@
 	}
 }
 
-// A lease lasts as long as three fills that are later than usual, so that a slow holder keeps it and a dead one costs
-// little; the bounds are those of a store's round trip and of a view's patience.
+// A lease lasts half as long again as a fill that is later than nearly all: a slow holder mostly keeps it, and those that
+// wait for a dead one find it free before their patience ends. The bounds are a round trip to a far store, and a view's patience.
 func (k *Keeper) leaseFor() time.Duration {
-	return min(max(3*k.fillIn.high(), 100*ms), 3*time.Second)
+	return min(max(3*k.fillIn.high()/2, 50*ms), 3*time.Second)
 }
 
 // wait gives the holder of the lease the time in which nearly all fills are done, then a quarter of a usual one again and
@@ -477,7 +483,8 @@
 	keep := k.stay(o)
 	stores := o.born > 0 && o.size > 0 && o.size <= k.set.Bytes && keep > 0 && !n.full && n.mode >= modeCold &&
 		n.room.half() && k.may(n, 1)
-	k.end(i, o.id, rules.Succeeded, note, e.Waited)
+	note, waited := k.waited(o, note, e.Waited)
+	k.end(i, o.id, rules.Succeeded, note, waited)
 	o = &k.ops[i]
 	if !stores {
 		k.close(i)
@@ -492,6 +499,15 @@
 	}
 }
 
+// waited is how a success reads. One that waited for another's fill first tells nothing of store or source: what is learned
+// of both must not come to hold the wait.
+func (k *Keeper) waited(o *op, n rules.Note, w time.Duration) (rules.Note, time.Duration) {
+	if o.looked {
+		return rules.NoteJoined, k.now - o.asked
+	}
+	return n, w
+}
+
 // valid is the moment before which no purge can have been missed on a copy's way here: its birth, or, for an old copy of a
 // source that had dropped by then what was purged, the time when that was asked.
 func (k *Keeper) valid(o *op) Stamp {
@@ -538,12 +554,8 @@
 		// The source is a parent and speaks of the origin behind it.
 		note = rules.NoteOriginFail
 	}
-	outcome := rules.Missed
-	if e.Outcome != rules.Missed {
-		outcome = rules.Errored
-	}
 	k.release(o)
-	k.end(i, 0, outcome, note, e.Waited)
+	k.end(i, 0, rules.Missed, note, e.Waited)
 }
 
 // cancel ends a leg that is not wanted any more.
--- a/rules/store/store_test.go
+++ b/rules/store/store_test.go
@@ -226,9 +226,9 @@
 	//   get 1
 	//   timer 1 in 25ms
 	// another for the same
-	//   timer 2 in 300ms
+	//   timer 2 in 150ms
 	// the store lacks it
-	//   lease 1 300ms
+	//   lease 1 150ms
 	//   timer 1 in 2ms
 	// the lease is ours
 	//   fill 1
@@ -244,7 +244,7 @@
 	//   get 3
 	//   timer 3 in 2.2ms
 	// the store lacks it
-	//   lease 3 240ms
+	//   lease 3 120ms
 	//   timer 3 in 2ms
 	// another router has the lease
 	//   timer 3 in 80ms
--- a/rules/store/trace_test.go
+++ b/rules/store/trace_test.go
@@ -117,10 +117,10 @@
 	// ask: get; late: fill; filled: end(1,2) set; hit: forget
 	// ask: get; late: fill; unfit:; miss: end(9,8) forget
 	// ask: get; late: fill; unfit:; hit: end(1,1) forget
-	// ask: get; miss: lease; taken:; late: get; hit: end(1,1) forget
-	// ask: get; miss: lease; taken:; late: get; miss: lease; took: fill; filled: end(1,2) set unlease
-	// ask: get; miss: lease; taken:; late: get; failed: fill; filled: end(1,2) set
-	// ask: get; miss: lease; taken:; late: get; late: fill; filled: end(1,2) set
+	// ask: get; miss: lease; taken:; late: get; hit: end(1,4) forget
+	// ask: get; miss: lease; taken:; late: get; miss: lease; took: fill; filled: end(1,4) set unlease
+	// ask: get; miss: lease; taken:; late: get; failed: fill; filled: end(1,4) set
+	// ask: get; miss: lease; taken:; late: get; late: fill; filled: end(1,4) set
 	// ask: get; miss: lease; failed: fill; filled: end(1,2) set
 	// ask: get; miss: lease; late: fill; took:; filled: end(1,2) set unlease
 	// ask: get; miss: lease; took: fill; unfit: unlease end(9,8) forget
