--- a/internal/store/carrier.go
+++ b/internal/store/carrier.go
@@ -382,11 +382,15 @@
 
 func (c *Carrier) replied(s *server, r *replied) {
 	e := decide.Event{Kind: kindOf[r.command.verb], Op: r.command.op, Node: s.id, Reply: r.reply, Took: r.took}
-	if r.reply == decide.ReplySpoilt {
+	told := time.Since(s.complained) < c.limits.Late // a line for each would drown the others
+	if !told && (r.reply == decide.ReplySpoilt || r.reply == decide.ReplyOdd) {
+		s.complained = time.Now()
+	}
+	if r.reply == decide.ReplySpoilt && !told {
 		c.log.Warn("store value cannot be used", zap.String("uid", s.conf.UID), zap.Error(r.err),
 			zap.String("object", strconv.FormatUint(uint64(r.command.key.object), 16)), zap.Int("part", r.command.key.part))
 	}
-	if r.reply == decide.ReplyOdd {
+	if r.reply == decide.ReplyOdd && !told {
 		c.log.Warn("store refuses", zap.String("uid", s.conf.UID), zap.Error(r.err))
 	}
 	if o := c.ops[e.Op]; o != nil && !o.over && r.reply == decide.ReplyHit && e.Kind == decide.EventGot {
--- a/internal/store/server.go
+++ b/internal/store/server.go
@@ -30,9 +30,10 @@
 	addrs []string
 
 	// Under the carrier's lock.
-	reading bool // the ledger is being read or written
-	lost    bool // the last attempt to connect failed, or the connection ended
-	taken   []decide.Mark
+	reading    bool // the ledger is being read or written
+	lost       bool // the last attempt to connect failed, or the connection ended
+	taken      []decide.Mark
+	complained time.Time // when its answers were last logged
 }
 
 // send puts a command on the connection, and says whether there is one.
