--- /dev/null
+++ b/cmd/fennelarch/arch_test.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"os/exec"
+	"slices"
+	"strings"
+	"testing"
+)
+
+type pack struct {
+	ImportPath string
+	Imports    []string
+	Deps       []string
+}
+
+// Decisions import nothing that does or waits, and the service never imports its own proof.
+func TestArchitecture(t *testing.T) {
+	out, err := exec.Command("go", "list", "-json=ImportPath,Imports,Deps", "fennelarch/...").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := map[string]bool{}
+	for d := json.NewDecoder(strings.NewReader(string(out))); ; {
+		var p pack
+		if err := d.Decode(&p); err == io.EOF {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		seen[p.ImportPath] = true
+		if p.ImportPath == "fennelarch/rules" || strings.HasPrefix(p.ImportPath, "fennelarch/rules/") {
+			for _, i := range p.Imports {
+				for _, bad := range []string{"net", "os", "sync", "context", "log", "io", "go.uber.org/zap", "math/rand", "math/rand/v2", "fennelarch/internal"} {
+					if i == bad || strings.HasPrefix(i, bad+"/") {
+						t.Errorf("%s imports %s", p.ImportPath, i)
+					}
+				}
+			}
+		}
+		if p.ImportPath == "fennelarch/cmd/fennelarch" || p.ImportPath == "fennelarch/cmd/drill" {
+			for _, i := range p.Deps {
+				if strings.HasPrefix(i, "fennelarch/internal/standin") || strings.HasPrefix(i, "fennelarch/internal/lab") {
+					t.Errorf("%s needs %s", p.ImportPath, i)
+				}
+			}
+		}
+		if strings.HasPrefix(p.ImportPath, "fennelarch/internal/standin") {
+			for _, i := range p.Imports {
+				if strings.HasPrefix(i, "fennelarch/") && !slices.Contains([]string{"fennelarch/internal/resp"}, i) {
+					t.Errorf("%s knows %s", p.ImportPath, i)
+				}
+			}
+		}
+		fronts := []string{"front", "back", "bulletin", "store", "gateway", "media", "disk"}
+		if name, is := strings.CutPrefix(p.ImportPath, "fennelarch/internal/"); is && slices.Contains(fronts, name) {
+			for _, i := range p.Imports {
+				if other, is := strings.CutPrefix(i, "fennelarch/internal/"); is && slices.Contains(fronts, other) {
+					t.Errorf("%s knows %s", p.ImportPath, i)
+				}
+			}
+		}
+	}
+	if !seen["fennelarch/rules/store"] || !seen["fennelarch/internal/standin/redis"] {
+		t.Error("not all packages were looked at")
+	}
+}
--- a/internal/store/carrier.go
+++ b/internal/store/carrier.go
@@ -108,15 +108,11 @@
 			t := heap.Pop(&c.timers).(timer)
 			c.tell(&decide.Event{Kind: decide.EventTimer, Op: t.op, Node: t.node, Timer: t.name})
 		}
-		out := c.outbox
-		c.outbox = nil
 		if len(c.timers) > 0 {
 			alarm.Reset(max(0, c.timers[0].at-c.now()))
 		}
 		c.mu.Unlock()
-		for _, e := range out {
-			c.deliver(e.At, e.What)
-		}
+		c.flush()
 		select {
 		case <-c.wake:
 		case <-alarm.C:
@@ -135,10 +131,27 @@
 	}
 }
 
-// out has something delivered to the engine.
+// out has something delivered to the engine: by flush, on a goroutine that may wait for it, or by Run.
 func (c *Carrier) out(what any) {
 	c.outbox = append(c.outbox, engine.Event{At: time.Now(), What: what})
-	c.stir()
+}
+
+func (c *Carrier) flush() {
+	c.mu.Lock()
+	out := c.outbox
+	c.outbox = nil
+	c.mu.Unlock()
+	for _, e := range out {
+		c.deliver(e.At, e.What)
+	}
+}
+
+// unlock lets go on the engine's own goroutine, which must not wait for itself.
+func (c *Carrier) unlock() {
+	if len(c.outbox) > 0 {
+		c.stir()
+	}
+	c.mu.Unlock()
 }
 
 // Told is to see whatever the bulletin tells before the engine does, and returns what the engine is to be told instead.
@@ -201,7 +214,7 @@
 // Learn keeps what the list says of stores, and passes the rest on.
 func (c *Carrier) Learn(nodes []engine.Node, all bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	rest := make([]engine.Node, 0, len(nodes))
 	listed := map[rules.NodeID]bool{}
 	for _, n := range nodes {
@@ -244,7 +257,7 @@
 		id, relay = l.Source, true
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	a := l.Ask
 	if a.Write {
 		c.out(engine.LegEnd{Leg: l, Outcome: rules.Missed, Note: rules.NoteNoPlace})
@@ -280,7 +293,7 @@
 // Abort gives a leg up. A view that may go to a store may run again: nothing hangs on whether it did.
 func (c *Carrier) Abort(l *engine.Leg) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	id, known := c.legs[l]
 	if !known {
 		return c.inner.Abort(l)
@@ -299,7 +312,7 @@
 	}
 	if !s.send(command{verb: verbProbe, args: [][]byte{[]byte("PING")}}) {
 		c.mu.Lock()
-		defer c.mu.Unlock()
+		defer c.unlock()
 		c.out(engine.Probed{Node: id, Outcome: rules.Unconnected})
 	}
 }
@@ -313,6 +326,7 @@
 }
 
 func (c *Carrier) filled(end *engine.LegEnd, at time.Time) bool {
+	defer c.flush()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	id, known := c.legs[end.Leg]
@@ -345,6 +359,7 @@
 	if len(ends) == 0 {
 		return
 	}
+	defer c.flush()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, end := range ends {
--- a/internal/store/link.go
+++ b/internal/store/link.go
@@ -103,8 +103,12 @@
 	sent    []command // in the stream, their replies to come
 	ends    []any
 	heard   time.Time // of the last byte
+	small   int       // short reads in a row
 }
 
+// smallReads is how many short reads in a row give a ring's memory back: more than come between two long values of a mix.
+const smallReads = 200
+
 func newLink(l *limits.Limits, as login, now time.Time) *link {
 	k := &link{limits: l, dec: resp.Replies{Size: l.NodeIn, Line: l.Fields, Parts: 2*marksPage + 8}, heard: now}
 	k.in.Bound, k.out.Bound = l.NodeIn, l.NodeOut
@@ -168,7 +172,12 @@
 	for {
 		parts, err := k.dec.Next(&k.in)
 		if parts == nil || err != nil {
-			k.in.Shrink()
+			if k.small++; n > 4<<10 {
+				k.small = 0
+			}
+			if k.small > smallReads {
+				k.in.Shrink() // no long value came for long; one comes often where any does
+			}
 			return err
 		}
 		if len(k.sent) == 0 {
--- a/rules/store/health.go
+++ b/rules/store/health.go
@@ -265,7 +265,9 @@
 	n.took, n.late = average{}, 0
 	k.turn(n, signFresh)
 	k.warmAt(n)
-	k.do(Action{Kind: ActionCold, Node: n.id, Wait: k.now - started})
+	if k.set.Capacity <= 0 {
+		k.do(Action{Kind: ActionCold, Node: n.id, Wait: k.now - started})
+	}
 }
 
 // refusals are what a store's own words mean for it: whether it is out, or only takes no values.
