A look that a cold store has no budget for lacks the object; fills begin at a wider bound

Such a look ended with no place, on which the views' decisions name no source for 100 ms, so only looks came, and so on for two seconds. Gets late in one moment count as one.

--- a/internal/lab/scene.go
+++ b/internal/lab/scene.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -308,9 +309,12 @@
 	for _, err := range s.errs {
 		n.Errors = append(n.Errors, err.Error())
 	}
-	if os.Getenv("FENNELAB_KEEP") == "" {
-		_ = os.RemoveAll(s.folder)
+	if to := os.Getenv("FENNELAB_LOGS"); to != "" { // for a look at what a claim that failed was about
+		for _, r := range s.Routers {
+			_ = os.WriteFile(filepath.Join(to, fmt.Sprintf("%s-%d-%s.log", filepath.Base(s.folder), s.Seed, r.Name)), []byte(r.Log()), 0o600)
+		}
 	}
+	_ = os.RemoveAll(s.folder)
 	return n
 }
 
--- a/rules/store/health.go
+++ b/rules/store/health.go
@@ -22,8 +22,9 @@
 	filled  time.Duration // when the budget was last topped up
 	room    bound
 	took    average
-	late    int  // gets in a row that were later than they are worth
-	trial   OpID // the get on trial
+	lateAt  time.Duration // when the first of the late ones was
+	late    int           // gets in a row that were later than they are worth
+	trial   OpID          // the get on trial
 	pause   time.Duration
 	turn    uint64 // of the pause that counts
 	full    bool   // it takes no values
@@ -40,6 +41,8 @@
 	// Gets in a row that are late before a store counts as slow: one alone is a pause of its own, six cost a few views
 	// some milliseconds each.
 	lateRun = 6
+	// and how long they must go on: under load a pause of the machine makes as many late in one moment.
+	lateFor = 50 * ms
 	// Pauses before a trial: short enough that a store back is missed by few views, doubled up to what a silent one may
 	// cost.
 	firstPause, lastPause = 250 * ms, 4 * time.Second
@@ -59,7 +62,15 @@
 // half leaves the other half to what clients wait for.
 func (b *bound) half() bool { return float64(b.out) < math.Max(leastRoom, b.limit/2) }
 
-func (b *bound) good() { b.limit = math.Min(b.most, b.limit+1/math.Max(1, b.limit)) }
+// good raises the limit: by one until it was first lowered, so that it doubles each round trip of a full load; by one a round
+// trip after that.
+func (b *bound) good() {
+	more := 1.0
+	if b.cut > 0 {
+		more /= math.Max(1, b.limit)
+	}
+	b.limit = math.Min(b.most, b.limit+more)
+}
 
 // bad lowers the limit by a factor, once for all that was out together.
 func (b *bound) bad(by float64, now, each time.Duration) {
@@ -332,9 +343,11 @@
 
 // overdue counts a get that is later than it is worth.
 func (k *Keeper) overdue(n *node, o OpID) {
-	n.late++
+	if n.late++; n.late == 1 {
+		n.lateAt = k.now
+	}
 	n.room.bad(slowCut, k.now, n.took.usual())
-	if n.late >= lateRun || n.trial == o {
+	if n.late >= lateRun && k.now-n.lateAt >= lateFor || n.trial == o {
 		n.late = 0
 		k.turn(n, signLate)
 	}
@@ -344,14 +357,15 @@
 func (k *Keeper) source(id rules.NodeID) *bound {
 	b := k.fills[id]
 	if b == nil {
-		b = &bound{limit: firstRoom, most: fillsMost}
+		b = &bound{limit: firstFills, most: fillsMost}
 		k.fills[id] = b
 	}
 	return b
 }
 
-// fillsMost is far over what one router has out at one source in good times, and what it may add to in bad ones.
-const fillsMost = 256
+// firstFills is what a source is taken to bear before any answer: what one busy router without a store has out there at its
+// start. fillsMost is far over that, and what it may add to in bad times.
+const firstFills, fillsMost = 64, 256
 
 // filled takes the end of a fill: what it says of the source, and of the time that fills take.
 func (k *Keeper) filled(o *op, e *Event) {
--- a/rules/store/store.go
+++ b/rules/store/store.go
@@ -350,7 +350,7 @@
 		return
 	}
 	if o.source == 0 {
-		// Nothing to pass it by with: say at once that there is no place, so that the view may go elsewhere.
+		// Nothing to pass it by with: say so at once, that the view may go elsewhere.
 		k.refuse(i)
 		return
 	}
@@ -362,11 +362,15 @@
 func (k *Keeper) refuse(i int32) {
 	k.Counts.Refused++
 	o := &k.ops[i]
-	if k.nodes[o.node].mode == modeOut {
+	switch {
+	case k.nodes[o.node].mode == modeOut:
 		k.end(i, 0, rules.Unconnected, rules.NoteNone, 0)
-		return
+	case o.source == 0:
+		// Not that there is no place: the views' decisions would name no source for 100 ms, and so it would go on.
+		k.end(i, 0, rules.Missed, rules.NoteLacks, 0)
+	default:
+		k.end(i, 0, rules.Full, rules.NoteNoPlace, 0)
 	}
-	k.end(i, 0, rules.Full, rules.NoteNoPlace, 0)
 }
 
 func (k *Keeper) get(n *node, i int32) {
