Admission: decisions on connections, TLS with keys read again, turning back that arrives

A terminal in a loop could take all connections. rules/admission decides by a table of modes and standings; the front obeys: a spare descriptor where they run out, a word that reaches a peer still sending, TLS by the operator's file, fennelarch keys. Without the operator's part the bounds are the old ones.

--- /dev/null
+++ b/cmd/fennelarch/doors.go
@@ -0,0 +1,123 @@
+package main
+
+// This file owns the place of admission and keys in a router: what the operator's file says of them, at the start and when
+// it is read again.
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"fennelarch/internal/front"
+	"fennelarch/internal/operator"
+	"fennelarch/internal/settings"
+	"fennelarch/rules/admission"
+)
+
+// admits is what the operator's file says of connections, for the decisions.
+func admits(own *operator.File, c *settings.Config) (admission.Settings, error) {
+	a := own.Admission
+	if a == nil {
+		return admission.Settings{Tell: c.Rules.RetryAfter, MaxWait: c.Rules.MaxWait}, nil
+	}
+	known, err := peers(a.Known)
+	if err != nil {
+		return admission.Settings{}, err
+	}
+	set := admission.Settings{Reserve: a.Reserve, PerPeer: a.PerAddress, PerSecond: a.PerSecond, Burst: a.Burst, Views: a.Views,
+		AllViews: a.AllViews, Handshakes: a.Handshakes, HandshakeCPU: a.HandshakeCPU, Remember: a.Remember, Tell: c.Rules.RetryAfter,
+		MaxWait: c.Rules.MaxWait, Listed: known}
+	return set.Whole(), nil
+}
+
+// peers reads the operator's list of addresses and networks.
+func peers(list []string) (func(admission.Peer) bool, error) {
+	var known []netip.Prefix
+	for i, text := range list {
+		p, err := netip.ParsePrefix(text)
+		if err != nil {
+			a, bad := netip.ParseAddr(text)
+			if bad != nil {
+				return nil, fmt.Errorf("operator's file: admission.known.%d: %q is neither an address nor a network", i, text)
+			}
+			p = netip.PrefixFrom(a, a.BitLen())
+		}
+		known = append(known, p.Masked())
+	}
+	return func(p admission.Peer) bool {
+		a := netip.AddrFrom16(p).Unmap()
+		for _, k := range known {
+			if k.Contains(a) || k.Addr().Is6() && k.Bits() >= 64 && admission.Address(k.Addr().As16()) == p {
+				return true
+			}
+		}
+		return false
+	}, nil
+}
+
+func files(t *operator.FrontTLS) front.Files {
+	f := front.Files{Cert: t.CertFile, Key: t.KeyFile, ClientCA: t.ClientCAFile, Required: t.Client == "required"}
+	if t.MinVersion == "1.3" {
+		f.Min = tls.VersionTLS13
+	}
+	return f
+}
+
+func newDoors(own *operator.File, c *settings.Config) (d front.Doors, err error) {
+	d.FlowKB = c.Rules.FlowKB
+	if d.Admission, err = admits(own, c); err != nil {
+		return d, err
+	}
+	if own.TLS != nil {
+		d.Keys, err = front.LoadKeys(files(own.TLS))
+		if err != nil {
+			err = fmt.Errorf("operator's file: tls: %w", err)
+		}
+	}
+	return d, err
+}
+
+// reloadOwn reads the operator's file again and returns the one in force.
+func reloadOwn(path string, own *operator.File, c *settings.Config, st stores, server *front.Server, d front.Doors,
+	log *zap.Logger) *operator.File {
+	if path == "" {
+		return own
+	}
+	stays := func(why zap.Field) *operator.File {
+		log.Warn("operator's file stays as it was", why)
+		return own
+	}
+	to, err := operator.Load(path)
+	if err != nil {
+		return stays(zap.Error(err))
+	}
+	if part := own.Frozen(to); part != "" {
+		return stays(zap.String("cannot_change", part))
+	}
+	set, err := admits(to, c)
+	if err != nil {
+		return stays(zap.Error(err))
+	}
+	if to.TLS != nil {
+		if err := d.Keys.Load(files(to.TLS)); err != nil {
+			return stays(zap.Error(err))
+		}
+	}
+	server.Admit(set)
+	st.reload(to, c)
+	log.Info("operator's file read again")
+	return to
+}
+
+// doorsSummary tells of connections where the operator's file has anything about them, or where something was turned back.
+func doorsSummary(own *operator.File, s *front.Server, log *zap.Logger) {
+	n, mode := s.Doors()
+	if own.Admission == nil && n.Exhausted == 0 {
+		return
+	}
+	log.Info("admission", zap.String("mode", mode), zap.Uint64("taken", n.Taken), zap.Uint64("refused", n.Refused),
+		zap.Uint64("dropped", n.Dropped), zap.Uint64("ended", n.Ended), zap.Uint64("views_refused", n.ViewsRefused),
+		zap.Uint64("exhausted", n.Exhausted), zap.Uint64("handshakes", n.Handshakes))
+}
--- a/cmd/fennelarch/main.go
+++ b/cmd/fennelarch/main.go
@@ -75,6 +75,7 @@
 		Serve   serveCmd   `cmd:"" help:"Run one router, as the environment tells: RELAY_NAME, RELAY_LISTEN, RELAY_CONFIG."`
 		Check   checkCmd   `cmd:"" help:"Read the configuration, say what it holds, and end."`
 		Schema  schemaCmd  `cmd:"" help:"Print the JSON schema of the operator's file."`
+		Keys    keysCmd    `cmd:"" help:"Make a development authority, and pairs for the router and for clients."`
 		Version versionCmd `cmd:"" help:"Print the version."`
 	}
 	ctx := kong.Parse(&cli, kong.Name("fennelarch"),
--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -65,7 +65,11 @@
 	eng = engine.New(c.Rules, c.Seed, lim.Queue, start, stores.over(pool),
 		engine.Own{Bytes: lim.Copies, Flow: c.Flow, Link: c.Link, Forget: lim.Forget}, log)
 	eng.Start(0)
-	server := front.New(lim, c.Names, c.Rules.Tariffs, post)
+	doors, err := newDoors(own, c)
+	if err != nil {
+		return err
+	}
+	server := front.New(lim, c.Names, c.Rules.Tariffs, doors, post, log)
 
 	var known bulletin.Page
 	if len(c.Known) > 0 {
@@ -87,6 +91,7 @@
 	go eng.Run(done, lim.Summary, func(n engine.Counts) {
 		summary(log, n, server.Count(), pool.Count())
 		stores.summary(log)
+		doorsSummary(own, server, log)
 	})
 	go stores.run(context.Background())
 	go follower.Run(context.Background(), func(at time.Time, what any) { post(at, stores.told(what)) })
@@ -98,7 +103,7 @@
 		select {
 		case <-again:
 			reload(follower, log)
-			own = stores.reload(path, own, c, log)
+			own = reloadOwn(path, own, c, stores, server, doors, log)
 		case <-stop: // a second order changes nothing
 			running = false
 		}
--- a/cmd/fennelarch/stores.go
+++ b/cmd/fennelarch/stores.go
@@ -99,23 +99,9 @@
 		zap.Uint64("overdue", n.Overdue), zap.Uint64("refused", n.Refused))
 }
 
-// reload reads the operator's file again and returns the one in force.
-func (s stores) reload(path string, own *operator.File, c *settings.Config, log *zap.Logger) *operator.File {
-	if path == "" {
-		return own
-	}
-	to, err := operator.Load(path)
-	if err != nil {
-		log.Warn("operator's file stays as it was", zap.Error(err))
-		return own
-	}
-	if part := own.Frozen(to); part != "" {
-		log.Warn("operator's file stays as it was: a part cannot change while the router runs", zap.String("part", part))
-		return own
-	}
+// reload takes over what may change of the operator's file.
+func (s stores) reload(own *operator.File, c *settings.Config) {
 	if s.Carrier != nil {
-		s.Set(shared(to, c, s.Limits()))
-		log.Info("operator's file read again")
+		s.Set(shared(own, c, s.Limits()))
 	}
-	return to
 }
--- /dev/null
+++ b/internal/front/keys.go
@@ -0,0 +1,98 @@
+package front
+
+// This file owns the keys of a front that speaks TLS: read from files, read again without dropping a connection, and never
+// told to a log.
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fennelarch/rules/admission"
+)
+
+// Files name what a front needs for TLS.
+type Files struct {
+	Cert, Key string
+	ClientCA  string // authority of known clients, none: no certificate is asked for
+	Required  bool   // a client must show one
+	Min       uint16 // the lowest version of TLS
+}
+
+// Keys are the keys in force.
+type Keys struct {
+	now  atomic.Pointer[tls.Config]
+	told atomic.Int64 // when a failed handshake was last logged
+}
+
+// LoadKeys reads keys from files.
+func LoadKeys(f Files) (*Keys, error) {
+	k := &Keys{}
+	return k, k.Load(f)
+}
+
+// Load reads them again. A pair that cannot be used leaves the old one in force.
+func (k *Keys) Load(f Files) error {
+	pair, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	if err != nil {
+		return fmt.Errorf("certificate %s: %w", f.Cert, err)
+	}
+	if leaf, err := x509.ParseCertificate(pair.Certificate[0]); err != nil || time.Now().After(leaf.NotAfter) {
+		return fmt.Errorf("certificate %s: %w", f.Cert, errors.Join(err, errExpired))
+	}
+	c := &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: max(tls.VersionTLS12, f.Min)}
+	if f.ClientCA != "" {
+		pem, err := os.ReadFile(f.ClientCA)
+		if err != nil {
+			return err
+		}
+		c.ClientCAs = x509.NewCertPool()
+		if !c.ClientCAs.AppendCertsFromPEM(pem) {
+			return fmt.Errorf("%s holds no certificate", f.ClientCA)
+		}
+		c.ClientAuth = tls.VerifyClientCertIfGiven
+		if f.Required {
+			c.ClientAuth = tls.RequireAndVerifyClientCert
+		}
+	}
+	k.now.Store(c)
+	return nil
+}
+
+var errExpired = errors.New("it has expired")
+
+func (k *Keys) server(up net.Conn) *tls.Conn { return tls.Server(up, k.now.Load()) }
+
+// shake does the handshake and returns the peer of the certificate that was shown, if any.
+func (k *Keys) shake(up net.Conn, within time.Duration) (p admission.Peer, err error) {
+	t := up.(*tls.Conn)
+	ctx, end := context.WithTimeout(context.Background(), within)
+	defer end()
+	if err := t.HandshakeContext(ctx); err != nil {
+		return p, err
+	}
+	if shown := t.ConnectionState().PeerCertificates; len(shown) > 0 {
+		p = admission.Certificate(sha256.Sum256(shown[0].RawSubjectPublicKeyInfo))
+	}
+	return p, nil
+}
+
+// cost is what a handshake that took so long is taken to have cost: most of a long one is waiting.
+func (k *Keys) cost(took time.Duration) time.Duration { return min(took, 2*time.Millisecond) }
+
+// complain logs a failed handshake, but not one after the other.
+func (k *Keys) complain(log *zap.Logger, err error) {
+	now := time.Now().Unix()
+	if last := k.told.Load(); now > last && k.told.CompareAndSwap(last, now) {
+		log.Info("handshake failed", zap.Error(err))
+	}
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -14,11 +14,13 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+	"go.uber.org/zap"
 
 	"fennelarch/internal/engine"
 	"fennelarch/internal/limits"
 	"fennelarch/internal/settings"
 	"fennelarch/rules"
+	"fennelarch/rules/admission"
 )
 
 // Server takes clients.
@@ -26,24 +28,59 @@
 	shared shared
 	post   func(at time.Time, what any)
 	redcon *redcon.Server
-	busy   atomic.Int64 // connections on which something is open or to be written
+	start  time.Time
+	log    *zap.Logger
+	keys   *Keys // none: connections are plain
+	spare  *spare
+	turned atomic.Int64 // connections that are being turned back
+
+	busy atomic.Int64 // connections on which something is open or to be written
 
 	mu    sync.Mutex
-	conns map[*conn]bool
+	doors *admission.Admission
+	conns map[admission.ConnID]*conn
+	last  admission.ConnID
+	acts  []admission.Action
+}
+
+// Doors is how connections are admitted.
+type Doors struct {
+	Admission admission.Settings
+	Keys      *Keys   // for TLS, or none
+	FlowKB    float64 // KB a second of one transfer, by which due times grow
 }
 
 // New returns a server; what clients want goes to post.
-func New(l limits.Limits, n settings.Names, tariffs []rules.Tariff, post func(at time.Time, what any)) *Server {
-	s := &Server{post: post, conns: map[*conn]bool{}}
+func New(l limits.Limits, n settings.Names, tariffs []rules.Tariff, d Doors, post func(at time.Time, what any), log *zap.Logger) *Server {
+	s := &Server{post: post, conns: map[admission.ConnID]*conn{}, start: time.Now(), log: log, keys: d.Keys, spare: newSpare()}
+	s.doors = admission.New(bounded(d.Admission, &l))
 	s.shared.limits, s.shared.tariffs, s.shared.open = l, map[string]rules.TariffID{}, map[engine.Ident]claim{}
 	for i, name := range n.Tariffs {
 		s.shared.tariffs[name] = rules.TariffID(i)
 		s.shared.writes = append(s.shared.writes, tariffs[i].Write)
+		growth := 0.0
+		if d.FlowKB > 0 {
+			growth = tariffs[i].DueStretch / d.FlowKB
+		}
+		s.shared.due, s.shared.growth = append(s.shared.due, tariffs[i].Due), append(s.shared.growth, growth)
 	}
 	s.redcon = redcon.NewServer("", func(redcon.Conn, redcon.Command) {}, nil, nil)
 	return s
 }
 
+// bounded fills in what the process's limits say.
+func bounded(set admission.Settings, l *limits.Limits) admission.Settings {
+	set.Most, set.Fresh = l.Clients, l.Fresh
+	return set
+}
+
+// Admit takes settings that changed.
+func (s *Server) Admit(set admission.Settings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doors.Set(bounded(set, &s.shared.limits))
+}
+
 // Serve takes connections from a listener until it is closed.
 func (s *Server) Serve(l net.Listener) error { return s.redcon.Serve(listener{l, s}) }
 
@@ -57,55 +94,25 @@
 	return len(s.conns)
 }
 
+// Doors is what was decided about connections so far, and the mode it is in.
+func (s *Server) Doors() (admission.Counts, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.doors.Counts, s.doors.Mode()
+}
+
 // listener hands redcon connections whose bytes are read here.
 type listener struct {
 	net.Listener
 	server *Server
 }
 
-// Accept never waits on anything but the network. Where there are too many connections, one that rests makes room, or
-// else the new one is closed.
-func (l listener) Accept() (net.Conn, error) {
-	up, err := l.Listener.Accept()
-	if err != nil {
-		time.Sleep(l.server.shared.limits.Pause) // redcon asks again at once
-		return nil, err
-	}
-	c := &conn{Conn: up, server: l.server}
-	c.change = sync.NewCond(&c.mu)
-	c.session = newSession(&l.server.shared, c, time.Now())
-	s := l.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.conns) >= s.shared.limits.Clients {
-		rests := s.resting(c)
-		_ = rests.Conn.Close()
-		delete(s.conns, rests)
-		if rests == c {
-			return c, nil
-		}
-	}
-	s.conns[c] = true
-	return c, nil
-}
-
-// resting is the connection on which nothing is open or to be written for the longest, or the one given. One that has not
-// asked for anything yet goes before those that have, unless it has only just come.
-func (s *Server) resting(c *conn) *conn {
-	var longest time.Time
-	found := c
-	for o := range s.conns {
-		if since, rests := o.rests(); rests && (found == c || since.Before(longest)) {
-			found, longest = o, since
-		}
-	}
-	return found
-}
-
 // conn is one client connection.
 type conn struct {
 	net.Conn
+	raw    net.Conn // what it runs over
 	server *Server
+	id     admission.ConnID
 
 	mu      sync.Mutex
 	change  *sync.Cond // of the session
@@ -117,11 +124,14 @@
 func (c *conn) unlock() {
 	if busy := !c.session.idle(); busy != c.busy {
 		c.busy = busy
+		kind := admission.EventRests
 		if busy {
 			c.server.busy.Add(1)
+			kind = admission.EventBusy
 		} else {
 			c.server.busy.Add(-1)
 		}
+		c.server.tell(admission.Event{Kind: kind, Conn: c.id})
 	}
 	c.change.Broadcast()
 	c.mu.Unlock()
@@ -134,31 +144,20 @@
 	c.unlock()
 }
 
-func (c *conn) rests() (since time.Time, rests bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	since = c.session.begun
-	if !c.session.asked {
-		since = since.Add(-c.server.shared.limits.Fresh)
-	}
-	return since, c.session.idle()
-}
-
 // Read is called by redcon's goroutine of the connection. It does all the reading and returns when the connection is
 // over, so that redcon ends it.
 func (c *conn) Read([]byte) (int, error) {
-	go c.write()
-	for c.read() {
+	if c.shake() {
+		go c.write()
+		for c.read() {
+		}
 	}
 	c.mu.Lock()
 	c.session.over()
 	events := c.session.take()
 	c.unlock()
 	c.tell(time.Now(), events)
-	s := c.server
-	s.mu.Lock()
-	delete(s.conns, c)
-	s.mu.Unlock()
+	c.server.tell(admission.Event{Kind: admission.EventGone, Conn: c.id})
 	return 0, io.EOF
 }
 
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"fennelarch/internal/limits"
 	"fennelarch/internal/settings"
 	"fennelarch/rules"
@@ -15,7 +17,7 @@
 func TestTooManyClients(t *testing.T) {
 	l := limits.From(limits.Told{MemoryMB: 64, Sockets: 256, Streams: 100, LongestHard: 5 * time.Second})
 	l.Clients, l.Rest = 3, 200*time.Millisecond
-	s := New(l, settings.Names{Tariffs: []string{"clip"}}, []rules.Tariff{{}}, func(time.Time, any) {})
+	s := New(l, settings.Names{Tariffs: []string{"clip"}}, []rules.Tariff{{}}, Doors{}, func(time.Time, any) {}, zap.NewNop())
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -58,7 +60,7 @@
 			t.Fatalf("%q", got)
 		}
 	}
-	if _, got := ask(frame("PING", "1")); got != "" {
+	if _, got := ask(frame("PING", "1")); got != frame("1", "BUSY", "", "") {
 		t.Errorf("a fourth busy client got %q", got)
 	}
 	for end := time.Now().Add(10 * time.Second); s.Count() > 3 || s.busy.Load() != 3; time.Sleep(time.Millisecond) {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -18,6 +18,7 @@
 	"fennelarch/internal/limits"
 	"fennelarch/internal/resp"
 	"fennelarch/rules"
+	"fennelarch/rules/admission"
 )
 
 // errTags says that a tag was used again while it was open: no answer under it could be told from another.
@@ -28,6 +29,8 @@
 	limits  limits.Limits
 	tariffs map[string]rules.TariffID
 	writes  []bool
+	due     []time.Duration // by tariff
+	growth  []float64       // seconds for each KB
 	views   atomic.Uint64
 	held    atomic.Int64 // bytes of answers that wait
 
@@ -77,8 +80,11 @@
 	waiting []answer                   // nothing of them is in the stream
 	putting int64                      // length of the body that is being put into the stream
 	closed  bool
+	good    bool  // the view that is being shut was served
 	events  []any // *engine.Ask and engine.Gone, to be taken by the driver
 
+	admits func(admission.Event) (wait time.Duration, taken bool) // asks whether a view may be opened, and tells of its end
+
 	asked bool      // a whole message has come
 	begun time.Time // when the one that is coming began, or the last one or the connection came
 }
@@ -90,9 +96,9 @@
 	body   []byte
 }
 
-func newSession(s *shared, client engine.Client, now time.Time) *session {
+func newSession(s *shared, client engine.Client, admits func(admission.Event) (time.Duration, bool), now time.Time) *session {
 	l := &s.limits
-	return &session{shared: s, client: client, begun: now, in: resp.Ring{Bound: l.ClientIn}, out: resp.Writer{Ring: resp.Ring{Bound: l.ClientOut}},
+	return &session{shared: s, client: client, admits: admits, begun: now, in: resp.Ring{Bound: l.ClientIn}, out: resp.Writer{Ring: resp.Ring{Bound: l.ClientOut}},
 		dec:  resp.Decoder{Args: l.Strings, Size: l.ClientIn - 2*l.Fields, Most: l.ClientIn},
 		open: map[engine.Tag]*engine.Ask{}}
 }
@@ -108,7 +114,10 @@
 	for !s.full() {
 		args, err := s.dec.Next(&s.in)
 		if err == nil && args != nil {
-			s.asked, s.begun = true, now
+			if s.begun = now; !s.asked {
+				s.asked = true
+				s.admits(admission.Event{Kind: admission.EventAsked})
+			}
 			err = s.command(args, now)
 		}
 		if err != nil {
@@ -168,6 +177,11 @@
 			s.fail(string(args[1]))
 			return nil
 		}
+		if wait, taken := s.admits(admission.Event{Kind: admission.EventView}); !taken {
+			s.shared.release(a.Ident)
+			s.busy(string(args[1]), wait)
+			return nil
+		}
 		a.View, a.Client, a.Tag, a.At = rules.ViewID(s.shared.views.Add(1)), s.client, tag, now
 		s.open[tag] = a
 		s.events = append(s.events, a)
@@ -199,6 +213,10 @@
 }
 
 func (s *session) shut(tag engine.Tag) {
+	a := s.open[tag]
+	late := time.Since(a.At) > s.shared.due[a.Tariff]+time.Duration(a.KB*s.shared.growth[a.Tariff]*float64(time.Second))
+	s.admits(admission.Event{Kind: admission.EventViewEnd, InTime: s.good && !late})
+	s.good = false
 	s.shared.release(s.open[tag].Ident)
 	delete(s.open, tag)
 }
@@ -298,6 +316,7 @@
 	if _, open := s.open[tag]; !open {
 		return
 	}
+	s.good = a.Verdict == engine.Succeeded
 	s.shut(tag)
 	w := answer{tag: strconv.FormatUint(uint64(tag), 10), word: "FAILED"}
 	switch {
@@ -307,10 +326,17 @@
 		w.word, w.body = "OK", a.Body
 		s.shared.held.Add(int64(len(a.Body)))
 	case a.Verdict == engine.TurnedBack:
-		w.word = "BUSY"
-		if a.Wait > 0 {
-			w.fields = "holdoff=" + strconv.FormatInt(max(1, a.Wait.Milliseconds()), 10)
-		}
+		s.busy(w.tag, a.Wait)
+		return
+	}
+	s.say(w)
+}
+
+// busy turns a view back, and says when to return where that is known.
+func (s *session) busy(tag string, wait time.Duration) {
+	w := answer{tag: tag, word: "BUSY"}
+	if wait > 0 {
+		w.fields = "holdoff=" + strconv.FormatInt(max(1, wait.Milliseconds()), 10)
 	}
 	s.say(w)
 }
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -11,12 +11,17 @@
 	"fennelarch/internal/limits"
 	"fennelarch/internal/resp"
 	"fennelarch/rules"
+	"fennelarch/rules/admission"
 )
 
+// open is doors that let any view in.
+func open(admission.Event) (time.Duration, bool) { return 0, true }
+
 func testSession() *session {
 	s := &shared{limits: limits.From(limits.Told{MemoryMB: 6, Sockets: 256, Streams: 100, LongestHard: 5 * time.Second}),
 		tariffs: map[string]rules.TariffID{"clip": 0, "signoff": 1}, writes: []bool{false, true}, open: map[engine.Ident]claim{}}
-	return newSession(s, nil, time.Time{})
+	s.due, s.growth = make([]time.Duration, len(s.writes)), make([]float64, len(s.writes))
+	return newSession(s, nil, open, time.Time{})
 }
 
 func frame(words ...string) string { return string(resp.AppendWords(nil, words...)) }
@@ -142,7 +147,7 @@
 // The id of an open view stands for its object on all connections, and for no other until the view is over.
 func TestIdsOpen(t *testing.T) {
 	a := testSession()
-	b, other := newSession(a.shared, nil, time.Time{}), strings.Replace(asked, "piece=3", "piece=4", 1)
+	b, other := newSession(a.shared, nil, open, time.Time{}), strings.Replace(asked, "piece=3", "piece=4", 1)
 	_, _ = a.hear(do(1, "")+do(2, ""), 1<<16)
 	for _, ends := range []func(){func() {}, func() { a.answer(1, engine.Answer{}) }} {
 		if ends(); len(b.words()) > 0 {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -13,6 +13,7 @@
 
 	// Descriptors by use; what is left over is a reserve for the log, the bulletin and the runtime.
 	Clients   int
+	Turned    int // connections that are being turned back with a word, beside those
 	Nodes     int // connections to all nodes together
 	NodeConns int // connections to one node
 	Streams   int // legs open on one of them
@@ -24,6 +25,7 @@
 	Object    int           // body of an answer
 	Fields    int           // any other string
 	KB        float64       // size of what a view asks for
+	DueKB     float64       // KB a second by which a due time grows
 	Timeout   time.Duration // of a view
 	ClientIn  int
 	ClientOut int
@@ -43,6 +45,7 @@
 	Rest        time.Duration // until a client connection is closed on which nothing comes and nothing is open
 	Whole       time.Duration // until one is on which no message was whole yet, or one that has begun is not
 	Fresh       time.Duration // how much longer than one that has asked it counts as resting
+	Polite      time.Duration // for each half of turning a connection back
 	Stuck       time.Duration // until a peer that reads nothing is cut off
 	StoreSilent time.Duration // until a store of which nothing is heard is cut off
 	Begin       time.Duration // until a leg is on its way, or never goes: the rules count a send from its first byte
@@ -89,12 +92,12 @@
 	}
 	return Limits{
 		Cores: t.Cores, Memory: int64(t.MemoryMB) << 20, Sockets: t.Sockets,
-		Clients: t.Sockets * 2 / 5, Nodes: t.Sockets * 2 / 5, NodeConns: t.Sockets / 8, Streams: streams, Copied: 32,
+		Clients: t.Sockets * 2 / 5, Turned: t.Sockets / 32, Nodes: t.Sockets * 2 / 5, NodeConns: t.Sockets / 8, Streams: streams, Copied: 32,
 		Strings: 8, Request: 48_000, Object: 240_000, Fields: 1 << 10, KB: 1e9, Timeout: 2*t.LongestHard + time.Second,
 		ClientIn: 64 << 10, ClientOut: 32 << 10, NodeIn: 256 << 10, NodeOut: 64 << 10,
 		Copies: t.MemoryMB << 20 / 4, Answers: int64(t.MemoryMB) << 20 / 6, Events: 4 << 20,
 		Open: 32, Waiting: 64, Queue: 4096, Lines: 1024,
-		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, StoreSilent: time.Second,
+		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, Polite: 150 * time.Millisecond, StoreSilent: time.Second,
 		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
 		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Halt: 500 * time.Millisecond, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
 		Pause: 5 * time.Millisecond,
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -31,8 +31,33 @@
 
 // File is what the operator's file says.
 type File struct {
-	Stores []Store `json:"stores"`
-	Shared Shared  `json:"shared"`
+	Stores    []Store    `json:"stores"`
+	Shared    Shared     `json:"shared"`
+	Admission *Admission `json:"admission"`
+	TLS       *FrontTLS  `json:"tls"`
+}
+
+// Admission is who may connect; what is absent does not hold, or is filled in by the decisions.
+type Admission struct {
+	Known        []string `json:"known"`
+	Reserve      int      `json:"reserve"`
+	PerAddress   int      `json:"per_address"`
+	PerSecond    float64  `json:"new_per_s"`
+	Burst        int      `json:"burst"`
+	Views        int      `json:"views_per_address"`
+	AllViews     int      `json:"views"`
+	Handshakes   int      `json:"handshakes"`
+	HandshakeCPU float64  `json:"handshake_cores"`
+	Remember     int      `json:"remember"`
+}
+
+// FrontTLS has the front speak TLS.
+type FrontTLS struct {
+	CertFile     string `json:"cert_file"`
+	KeyFile      string `json:"key_file"`
+	ClientCAFile string `json:"client_ca_file"`
+	Client       string `json:"client"`
+	MinVersion   string `json:"min_version"`
 }
 
 // Store is one shared store.
@@ -132,7 +157,42 @@
 			}
 		}
 	}
-	return f, nil
+	if t := f.TLS; t != nil {
+		for _, p := range []*string{&t.CertFile, &t.KeyFile, &t.ClientCAFile} {
+			if *p != "" {
+				*p = within(folder, *p)
+			}
+		}
+		if t.Client == "required" && t.ClientCAFile == "" {
+			return nil, fmt.Errorf("%s: clients cannot be required to show a certificate of no authority (client_ca_file)", place(text, "tls", "client"))
+		}
+	}
+	return f, f.contradicts(text)
+}
+
+// contradicts finds what each part allows and both together do not.
+func (f *File) contradicts(text []byte) error {
+	a := f.Admission
+	if a == nil {
+		return nil
+	}
+	seen := map[string]int{}
+	for i, k := range a.Known {
+		if at, twice := seen[k]; twice {
+			return fmt.Errorf("%s: %q is there twice, at %d too", place(text, "admission", "known", strconv.Itoa(i)), k, at)
+		}
+		seen[k] = i
+	}
+	if a.Reserve > 0 && len(a.Known) == 0 && (f.TLS == nil || f.TLS.ClientCAFile == "") && a.Remember == 1 {
+		return fmt.Errorf("%s: a reserve for known clients, but nobody can be known", place(text, "admission", "reserve"))
+	}
+	if a.Burst > 0 && a.PerSecond <= 0 {
+		return fmt.Errorf("%s: a burst of new connections has no meaning without new_per_s", place(text, "admission", "burst"))
+	}
+	if a.Views > 0 && a.AllViews > 0 && a.Views > a.AllViews {
+		return fmt.Errorf("%s: one address may have more open views than all together", place(text, "admission", "views_per_address"))
+	}
+	return nil
 }
 
 func within(folder, path string) string {
@@ -173,6 +233,9 @@
 	if f.Shared.KeepMS != to.Shared.KeepMS {
 		return "shared.keep_ms"
 	}
+	if (f.TLS == nil) != (to.TLS == nil) {
+		return "tls"
+	}
 	return ""
 }
 
--- /dev/null
+++ b/rules/admission/admission.go
@@ -0,0 +1,486 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// conn is one connection that was taken.
+type conn struct {
+	id       ConnID
+	peer     int32
+	reserved bool
+	asked    bool
+	busy     bool
+	hands    bool // its handshake is not over
+	views    int
+	since    time.Duration // when it came, asked or came to rest
+	older    int32         // among those that rest
+	younger  int32
+	young    bool // on the list of those that have not asked
+}
+
+// list is connections that rest, the longest first.
+type list struct{ oldest, youngest int32 }
+
+// Admission holds all decisions on connections of one router. It is not safe for use by several goroutines.
+type Admission struct {
+	set  Settings
+	now  time.Duration
+	acts []Action
+	mode mode
+
+	conns  []conn
+	free   []int32
+	byConn map[ConnID]int32
+	rest   [2]list // those that have asked, those that have not
+	count  int     // connections
+	kept   int     // of them in the reserve
+	views  int
+	hands  int
+	cpu    float64 // seconds of handshakes that may be spent now
+	cpuAt  time.Duration
+	cost   float64 // seconds of one
+
+	peers            []peer
+	freePeers        []int32
+	byPeer           map[Peer]int32
+	oldest, youngest int32
+	idle             int
+
+	shedTill time.Duration
+	Counts   Counts
+}
+
+// New returns decisions that know nobody.
+func New(set Settings) *Admission {
+	set.Remember = max(1, set.Remember)
+	set.Reserve = min(set.Reserve, set.Most-1)
+	a := &Admission{set: set, byConn: map[ConnID]int32{}, byPeer: map[Peer]int32{}, oldest: none, youngest: none,
+		cost: firstCost.Seconds()}
+	for i := range a.rest {
+		a.rest[i] = list{none, none}
+	}
+	return a
+}
+
+// Whole returns settings of an operator who wants admission, with what was not told filled in.
+func (s Settings) Whole() Settings {
+	if s.PerPeer > 0 && s.Burst <= 0 {
+		s.Burst = 2 * s.PerPeer // a peer that comes back with all its connections at once, twice
+	}
+	if s.PerSecond > 0 && s.Burst <= 0 {
+		s.Burst = int(max(1, 2*s.PerSecond))
+	}
+	if s.Handshakes <= 0 {
+		s.Handshakes = 64 // what a core signs in a twentieth of a second
+	}
+	if s.HandshakeCPU <= 0 {
+		s.HandshakeCPU = 0.3 // views need little of a core; a flood may not have half of it
+	}
+	if s.Remember <= 0 {
+		s.Remember = 4096 // some 600 KB
+	}
+	return s
+}
+
+// Set takes settings that changed; connections that are there stay.
+func (a *Admission) Set(set Settings) {
+	set.Remember = max(1, set.Remember)
+	set.Reserve = min(set.Reserve, set.Most-1)
+	a.set = set
+	for i := range a.peers {
+		if p := &a.peers[i]; a.byPeer[p.id] == int32(i) {
+			p.listed = set.Listed != nil && set.Listed(p.id)
+		}
+	}
+}
+
+// Count is how many connections there are.
+func (a *Admission) Count() int { return a.count }
+
+// Mode names how near the bounds are.
+func (a *Admission) Mode() string { return modeNames[a.mode] }
+
+// Handle takes one event and appends what is to be done. A clock that goes back is taken to stand still.
+func (a *Admission) Handle(now time.Duration, e *Event, acts []Action) []Action {
+	a.now, a.acts = max(now, a.now), acts
+	switch i, known := a.byConn[e.Conn]; {
+	case e.Kind == EventArrive:
+		a.arrive(e)
+	case e.Kind == EventExhausted:
+		a.Counts.Exhausted++
+		a.shedTill = a.now + shedFor
+		a.turn(signExhausted)
+		a.makeRoom(listed)
+		a.do(Action{Kind: Pause, Wait: pauseFor})
+	case e.Kind == EventAccepted:
+		a.restored()
+	case !known:
+	default:
+		a.heard(i, e)
+	}
+	acts, a.acts = a.acts, nil
+	return acts
+}
+
+const (
+	// pauseFor is how long nothing is accepted once no descriptor could be had: as long as a client's own retry at least,
+	// and short enough that the queue of the system does not overflow meanwhile.
+	pauseFor = 20 * ms
+	// shedFor is how long descriptors must have been to be had before strangers are taken again.
+	shedFor = 500 * ms
+	// comeBack is the shortest time to come back that is told; it grows with how full it is, and each peer is told another.
+	comeBack = 250 * ms
+	// firstCost is what a handshake is taken to cost before any was seen: one signature and two products on a curve.
+	firstCost = time.Millisecond
+)
+
+func (a *Admission) do(x Action) { a.acts = append(a.acts, x) }
+
+// turn changes the mode by the table.
+func (a *Admission) turn(s sign) {
+	if to := moods[a.mode][s]; to != a.mode {
+		a.do(Action{Kind: Log, Text: "admission " + modeNames[a.mode] + ", now " + modeNames[to]})
+		a.mode = to
+	}
+}
+
+func (a *Admission) restored() {
+	if a.mode == modeShedding && a.now >= a.shedTill {
+		a.turn(signRestored)
+	}
+	a.weigh()
+}
+
+// open is how many places there are that strangers may take.
+func (a *Admission) open() int { return a.set.Most - a.set.Reserve }
+
+// weigh tells the mode how full it is. What the known have taken of their reserve does not count.
+func (a *Admission) weigh() {
+	taken, places := float64(a.count-a.kept), float64(a.open())
+	switch {
+	case taken >= places:
+		a.turn(signCrowded)
+	case taken >= 0.75*places:
+		a.turn(signFilling)
+	}
+	switch {
+	case taken < 0.5*places:
+		a.turn(signCalm)
+	case taken < 0.9*places:
+		a.turn(signEased)
+	}
+}
+
+// arrive takes a new connection, or not.
+func (a *Admission) arrive(e *Event) {
+	a.restored()
+	i := a.find(e.Peer)
+	a.join(i) // so that it is not forgotten while others make room
+	if !a.enter(e, i) {
+		a.part(i)
+	}
+	a.weigh()
+}
+
+// enter takes a connection of a peer, which is counted already, or says that it is not taken.
+func (a *Admission) enter(e *Event, i int32) bool {
+	p := &a.peers[i]
+	known := a.standing(p)
+	part := parts[a.mode][known]
+	within := a.set.PerPeer <= 0 || p.conns <= max(1, int(float64(a.set.PerPeer)*part))
+	if !within || !a.allows(p, part) {
+		p.score = math.Max(0, p.score-refusedCosts)
+		return a.refuse(e, Refuse)
+	}
+	if e.TLS && !a.mayShake() {
+		return a.refuse(e, Drop) // it could not read a word yet
+	}
+	v := doors[a.mode][known]
+	if v == take && known > stranger && a.mayReserve(p) {
+		v = reserve // so that no flood of strangers can end it
+	}
+	if v == reserve && !a.mayReserve(p) || v == take && a.count-a.kept >= a.open() {
+		v = room
+	}
+	if v == room && a.count-a.kept < a.open() {
+		v = take // a place is free after all
+	}
+	switch v {
+	case take, reserve:
+	case room:
+		if !a.makeRoom(known) {
+			return a.refuse(e, Refuse)
+		}
+	case refuse:
+		return a.refuse(e, Refuse)
+	default:
+		return a.refuse(e, Drop)
+	}
+	a.take(e, i, v == reserve)
+	return true
+}
+
+// reservePart is the part of the reserve that one peer may have: a known one that floods leaves the rest to the others.
+const reservePart = 4
+
+func (a *Admission) mayReserve(p *peer) bool {
+	return a.kept < a.set.Reserve && p.reserved < max(1, a.set.Reserve/reservePart)
+}
+
+func (a *Admission) refuse(e *Event, how ActionKind) (taken bool) {
+	if e.TLS {
+		how = Drop
+	}
+	if how == Drop {
+		a.Counts.Dropped++
+	} else {
+		a.Counts.Refused++
+	}
+	a.do(Action{Kind: how, Conn: e.Conn, Wait: a.back(e.Conn)})
+	return false
+}
+
+// back is when to come back: later the fuller it is, and not all in one moment.
+func (a *Admission) back(c ConnID) time.Duration {
+	if !a.set.Tell {
+		return 0
+	}
+	spread := float64(uint64(c)*0x9e3779b97f4a7c15>>40) / (1 << 24)
+	wait := time.Duration(float64(comeBack) * (1 + float64(a.mode)) * (0.5 + spread))
+	if a.set.MaxWait > 0 {
+		wait = min(wait, a.set.MaxWait)
+	}
+	return wait
+}
+
+func (a *Admission) take(e *Event, p int32, kept bool) {
+	var i int32
+	if n := len(a.free); n > 0 {
+		i = a.free[n-1]
+		a.free = a.free[:n-1]
+	} else {
+		a.conns = append(a.conns, conn{})
+		i = int32(len(a.conns) - 1)
+	}
+	a.conns[i] = conn{id: e.Conn, peer: p, reserved: kept, hands: e.TLS, since: a.now, older: none, younger: none, young: true}
+	a.byConn[e.Conn] = i
+	a.count++
+	if kept {
+		a.kept++
+		a.peers[p].reserved++
+	}
+	if e.TLS {
+		a.hands++
+	}
+	a.lie(i)
+	a.Counts.Taken++
+	a.do(Action{Kind: Take, Conn: e.Conn})
+}
+
+// lie puts a connection at the young end of those that rest.
+func (a *Admission) lie(i int32) {
+	c := &a.conns[i]
+	l := &a.rest[which(c.young)]
+	c.older, c.younger = l.youngest, none
+	if l.youngest != none {
+		a.conns[l.youngest].younger = i
+	} else {
+		l.oldest = i
+	}
+	l.youngest = i
+}
+
+func (a *Admission) rise(i int32) {
+	c := &a.conns[i]
+	l := &a.rest[which(c.young)]
+	if c.older != none {
+		a.conns[c.older].younger = c.younger
+	} else {
+		l.oldest = c.younger
+	}
+	if c.younger != none {
+		a.conns[c.younger].older = c.older
+	} else {
+		l.youngest = c.older
+	}
+	c.older, c.younger = none, none
+}
+
+func which(young bool) int {
+	if young {
+		return 1
+	}
+	return 0
+}
+
+// makeRoom ends the connection that rested longest, and says whether there was one. One that has not asked for anything yet
+// goes before those that have, unless it has only just come. None of the reserve is ended, and none of a known peer for a
+// stranger.
+func (a *Admission) makeRoom(who standing) bool {
+	found, longest := none, time.Duration(math.MaxInt64)
+	for k := range a.rest {
+		i := a.rest[k].oldest
+		for i != none && (a.conns[i].reserved || who == stranger && a.standing(&a.peers[a.conns[i].peer]) > stranger) {
+			i = a.conns[i].younger
+		}
+		if i == none {
+			continue
+		}
+		since := a.conns[i].since
+		if k == 1 {
+			since -= a.set.Fresh
+		}
+		if since < longest {
+			found, longest = i, since
+		}
+	}
+	if found == none {
+		return false
+	}
+	a.Counts.Ended++
+	a.do(Action{Kind: End, Conn: a.conns[found].id})
+	a.gone(found)
+	return true
+}
+
+// mayShake says whether one more handshake may begin: there is a place, and the time that they may use.
+func (a *Admission) mayShake() bool {
+	if a.set.Handshakes > 0 && a.hands >= a.set.Handshakes {
+		return false
+	}
+	if a.set.HandshakeCPU <= 0 {
+		return true
+	}
+	a.cpu = math.Min(a.set.HandshakeCPU/4, a.cpu+a.set.HandshakeCPU*(a.now-a.cpuAt).Seconds())
+	a.cpuAt = a.now
+	if a.cpu < a.cost {
+		return false
+	}
+	a.cpu -= a.cost
+	a.Counts.Handshakes++
+	return true
+}
+
+// heard takes what came of a connection that was taken.
+func (a *Admission) heard(i int32, e *Event) {
+	c := &a.conns[i]
+	p := &a.peers[c.peer]
+	switch e.Kind {
+	case EventShown:
+		if c.hands {
+			c.hands = false
+			a.hands--
+			if e.Took > 0 {
+				a.cost += 0.1 * (e.Took.Seconds() - a.cost)
+			}
+		}
+		if e.Peer != (Peer{}) {
+			a.move(i, e.Peer)
+		}
+	case EventAsked:
+		if !c.asked {
+			c.asked, c.since = true, a.now
+			if !c.busy {
+				a.rise(i)
+				c.young = false
+				a.lie(i)
+			} else {
+				c.young = false
+			}
+		}
+	case EventBusy:
+		if !c.busy {
+			a.rise(i)
+			c.busy = true
+		}
+	case EventRests:
+		if c.busy {
+			c.busy, c.since = false, a.now
+			a.lie(i)
+		}
+	case EventView:
+		if !a.mayOpen(p) {
+			a.Counts.ViewsRefused++
+			a.do(Action{Kind: Refuse, Conn: c.id, Wait: a.back(c.id + ConnID(a.Counts.ViewsRefused))})
+			return
+		}
+		c.views++
+		p.views++
+		a.views++
+		a.do(Action{Kind: Take, Conn: c.id})
+	case EventViewEnd:
+		if c.views > 0 {
+			c.views--
+			p.views--
+			a.views--
+		}
+		if e.InTime {
+			p.score = math.Min(scoreMost, a.fade(p)+1)
+		}
+	case EventGone:
+		a.gone(i)
+		a.weigh()
+	}
+}
+
+// mayOpen: a peer has its own bound on open views, and its share where all together have too many.
+func (a *Admission) mayOpen(p *peer) bool {
+	if a.set.Views > 0 && p.views >= a.set.Views {
+		return false
+	}
+	if a.set.AllViews <= 0 || a.views < a.set.AllViews {
+		return true
+	}
+	with := len(a.byPeer) - a.idle
+	return p.views < max(1, a.set.AllViews/max(1, with))
+}
+
+// move has a connection count for the certificate that it showed: behind one address, each has its own.
+func (a *Admission) move(i int32, id Peer) {
+	c := &a.conns[i]
+	from := c.peer
+	to := a.find(id)
+	p, q := &a.peers[from], &a.peers[to]
+	q.listed = true
+	p.views -= c.views
+	q.views += c.views
+	if c.reserved {
+		p.reserved--
+		q.reserved++
+	}
+	a.join(to)
+	a.part(from)
+	c.peer = to
+	// The connection was taken by the address's rate; the certificate's own bounds hold from here on.
+	if part := parts[a.mode][listed]; a.set.PerPeer > 0 && q.conns > max(1, int(float64(a.set.PerPeer)*part)) {
+		a.Counts.Ended++
+		a.do(Action{Kind: End, Conn: c.id})
+		a.gone(i)
+	}
+}
+
+// gone takes a connection out.
+func (a *Admission) gone(i int32) {
+	c := &a.conns[i]
+	if !c.busy {
+		a.rise(i)
+	}
+	p := &a.peers[c.peer]
+	p.views -= c.views
+	a.views -= c.views
+	if c.reserved {
+		a.kept--
+		p.reserved--
+	}
+	if c.hands {
+		a.hands--
+	}
+	a.count--
+	delete(a.byConn, c.id)
+	a.free = append(a.free, i)
+	a.part(c.peer)
+}
--- /dev/null
+++ b/rules/admission/iface.go
@@ -0,0 +1,99 @@
+// Package admission decides who may connect, and how much of the service one client may have. It is free of I/O, clocks
+// and goroutines: it is told events and times and hands back what to do. table.go holds the modes and what follows what,
+// admission.go the decisions, peers.go who is known. This file holds only the types through which a front drives it.
+package admission
+
+import "time"
+
+// ConnID is one connection, numbered from 1 by the front.
+type ConnID uint64
+
+// Peer is whom a connection counts for: an address, or a certificate where one was shown.
+type Peer [16]byte
+
+// Address is the peer of an address in its 16-byte form: IPv4 whole, IPv6 by its first 64 bits, which one customer has.
+func Address(ip [16]byte) Peer {
+	if v4 := [12]byte{10: 0xff, 11: 0xff}; [12]byte(ip[:12]) == v4 {
+		return ip
+	}
+	clear(ip[8:])
+	return ip
+}
+
+// Certificate is the peer of a certificate, by a hash of its key.
+func Certificate(hash [32]byte) Peer {
+	p := Peer(hash[:16])
+	p[0], p[1] = 0xff, 0xcc // a multicast prefix: no client has such an address
+	return p
+}
+
+// Settings are what the decisions are told at the start; what is 0 does not hold.
+type Settings struct {
+	Most    int // connections of all clients
+	Reserve int // of them, for known clients only
+
+	PerPeer   int     // connections of one peer
+	PerSecond float64 // new ones of one peer
+	Burst     int     // new ones at once
+	Views     int     // open views of one peer
+	AllViews  int     // open views of all, past which each peer has its share
+
+	Handshakes   int           // at once
+	HandshakeCPU float64       // part of a core that they may use
+	Remember     int           // peers of whom anything is remembered while they have no connection
+	Fresh        time.Duration // how much longer than one that has asked a connection counts as resting that has not
+	Tell         bool          // a time to come back may be told
+	MaxWait      time.Duration // the longest one
+	Listed       func(Peer) bool
+}
+
+// EventKind says what happened; the comment names the fields that are set.
+type EventKind uint8
+
+const (
+	EventArrive    EventKind = iota // Conn Peer TLS
+	EventShown                      // Conn Peer: the handshake is over; Peer is the certificate's, or none; Took
+	EventAsked                      // Conn: a whole message came
+	EventView                       // Conn: it wants to open a view
+	EventViewEnd                    // Conn InTime: one of its views has its answer
+	EventBusy                       // Conn: something is open or to be written
+	EventRests                      // Conn: nothing is any more
+	EventGone                       // Conn
+	EventExhausted                  // no descriptor is left, in the process or the system
+	EventAccepted                   // a descriptor could be had again
+)
+
+// Event is what the decisions are told.
+type Event struct {
+	Kind   EventKind
+	Conn   ConnID
+	Peer   Peer
+	TLS    bool
+	InTime bool
+	Took   time.Duration
+}
+
+// ActionKind says what is to be done.
+type ActionKind uint8
+
+const (
+	Take   ActionKind = iota // the connection, or the view
+	Refuse                   // with a word and the time to come back
+	Drop                     // without a word
+	End                      // another connection, which rests, makes room
+	Pause                    // accept nothing for so long
+	Log                      // Text
+)
+
+// Action is what the decisions want done, in the order given.
+type Action struct {
+	Kind ActionKind
+	Conn ConnID
+	Wait time.Duration
+	Text string
+}
+
+// Counts is what was decided so far.
+type Counts struct {
+	Taken, Refused, Dropped, Ended, ViewsRefused, Exhausted, Handshakes uint64
+}
