Admission: experiments; strangers' views follow the engine's lag, connections the descriptors

Now a connection whose views are refused in a row is not read for the time told, views of strangers are limited by how long events wait for the engine, and descriptors that run out lower the bound on connections until they are to be had again.

--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -44,6 +44,10 @@
 	if err := fits(own, c); err != nil {
 		return err
 	}
+	var files syscall.Rlimit // the system may give fewer than the configuration says
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil && files.Cur >= 32 && files.Cur < uint64(c.Sockets) {
+		c.Sockets = int(files.Cur)
+	}
 	told := limits.Told{Cores: c.Cores, MemoryMB: c.MemoryMB, Sockets: c.Sockets, Streams: c.Names.Streams,
 		Connect: c.Rules.ConnectLimit, Idle: c.Names.Idle, Drain: c.Rules.DrainGrace, Purge: c.Rules.PurgeGrace}
 	for _, t := range c.Rules.Tariffs {
@@ -69,6 +73,7 @@
 	if err != nil {
 		return err
 	}
+	doors.Lag = eng.Lag
 	server := front.New(lim, c.Names, c.Rules.Tariffs, doors, post, log)
 
 	var known bulletin.Page
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -183,6 +183,7 @@
 	counts  Counts
 	stop    time.Duration // no view lasts longer
 	open    atomic.Int64
+	lag     atomic.Int64 // that the last event had
 }
 
 // New returns an engine whose clock starts at start.
@@ -199,6 +200,9 @@
 // Open is how many views have no final answer yet, those in the queue included as far as they were posted.
 func (e *Engine) Open() int { return int(e.open.Load()) + len(e.in) }
 
+// Lag is how long the last event waited.
+func (e *Engine) Lag() time.Duration { return time.Duration(e.lag.Load()) }
+
 // Run drives the engine by the system's clock until done is closed, and hands out its counts now and then.
 func (e *Engine) Run(done <-chan struct{}, every time.Duration, counts func(Counts)) {
 	timer := time.NewTimer(0)
@@ -236,7 +240,9 @@
 func (e *Engine) Handle(now time.Duration, ev Event) {
 	e.now = max(now, e.now)
 	if !ev.At.IsZero() {
-		e.counts.Lag = max(e.counts.Lag, e.now-ev.At.Sub(e.start))
+		lag := e.now - ev.At.Sub(e.start)
+		e.counts.Lag = max(e.counts.Lag, lag)
+		e.lag.Store(int64(lag))
 	}
 	switch what := ev.What.(type) {
 	case *Ask:
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -59,6 +59,10 @@
 		case admission.Log:
 			s.log.Info(x.Text)
 		case admission.Pause:
+			if c := s.conns[x.Conn]; c != nil {
+				c.paused.Store(int64(x.Wait))
+				continue
+			}
 			a, said = x, true
 		default:
 			if x.Conn == e.Conn {
@@ -231,6 +235,9 @@
 // admits asks the decisions about a view, or tells them of one.
 func (c *conn) admits(e admission.Event) (time.Duration, bool) {
 	e.Conn = c.id
+	if e.Kind == admission.EventView {
+		e.Took = c.server.lag()
+	}
 	a, said := c.server.tell(e)
 	return a.Wait, said && a.Kind == admission.Take
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -32,6 +32,7 @@
 	log    *zap.Logger
 	keys   *Keys // none: connections are plain
 	spare  *spare
+	lag    func() time.Duration
 	turned atomic.Int64 // connections that are being turned back
 
 	busy atomic.Int64 // connections on which something is open or to be written
@@ -46,13 +47,17 @@
 // Doors is how connections are admitted.
 type Doors struct {
 	Admission admission.Settings
-	Keys      *Keys   // for TLS, or none
-	FlowKB    float64 // KB a second of one transfer, by which due times grow
+	Keys      *Keys                // for TLS, or none
+	Lag       func() time.Duration // how long events wait for the engine
+	FlowKB    float64              // KB a second of one transfer, by which due times grow
 }
 
 // New returns a server; what clients want goes to post.
 func New(l limits.Limits, n settings.Names, tariffs []rules.Tariff, d Doors, post func(at time.Time, what any), log *zap.Logger) *Server {
-	s := &Server{post: post, conns: map[admission.ConnID]*conn{}, start: time.Now(), log: log, keys: d.Keys, spare: newSpare()}
+	s := &Server{post: post, conns: map[admission.ConnID]*conn{}, start: time.Now(), log: log, keys: d.Keys, spare: newSpare(), lag: d.Lag}
+	if s.lag == nil {
+		s.lag = func() time.Duration { return 0 }
+	}
 	s.doors = admission.New(bounded(d.Admission, &l))
 	s.shared.limits, s.shared.tariffs, s.shared.open = l, map[string]rules.TariffID{}, map[engine.Ident]claim{}
 	for i, name := range n.Tariffs {
@@ -113,6 +118,7 @@
 	raw    net.Conn // what it runs over
 	server *Server
 	id     admission.ConnID
+	paused atomic.Int64 // for how long nothing is to be read of it
 
 	mu      sync.Mutex
 	change  *sync.Cond // of the session
@@ -194,6 +200,9 @@
 			c.await(func() bool { return c.session.idle() })
 			return false
 		case !full:
+			if wait := c.paused.Swap(0); wait > 0 {
+				time.Sleep(time.Duration(wait))
+			}
 			return true
 		}
 		c.await(func() bool { return c.session.closed || !c.session.full() })
--- /dev/null
+++ b/internal/lab/admission.go
@@ -0,0 +1,471 @@
+package lab
+
+// This file owns the experiments on admission: floods of connections from loopback addresses of their own, while crews go on
+// working.
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// flood opens connections, as fast as the machine allows or at a rate, and holds those that it gets.
+type flood struct {
+	address string
+	from    []string // addresses that it comes from
+	keys    *tls.Config
+	half    bool // handshakes are begun and never finished
+	loop    bool // each connection that it gets asks for one thing after the other: it never rests
+
+	tried, taken, turned, failed atomic.Int64
+	mu                           sync.Mutex
+	open                         []net.Conn
+}
+
+// run opens so many connections, at a rate a second (0: as fast as it can), by so many at once, and returns when the last was
+// tried.
+func (f *flood) run(n int, rate float64, at int) {
+	var wait sync.WaitGroup
+	begun := time.Now()
+	next := atomic.Int64{}
+	for range at {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for {
+				i := next.Add(1) - 1
+				if int(i) >= n {
+					return
+				}
+				if rate > 0 {
+					time.Sleep(time.Until(begun.Add(time.Duration(float64(i) / rate * float64(time.Second)))))
+				}
+				f.one(f.from[int(i)%len(f.from)])
+			}
+		}()
+	}
+	wait.Wait()
+}
+
+func (f *flood) one(from string) {
+	f.tried.Add(1)
+	d := net.Dialer{Timeout: 300 * time.Millisecond, LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	c, err := d.Dial("tcp", f.address)
+	if err != nil {
+		f.failed.Add(1)
+		return
+	}
+	if f.half {
+		_, _ = c.Write([]byte{22, 3, 1, 2}) // the head of a record that never comes
+	}
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+	buf := make([]byte, 64)
+	n, err := c.Read(buf)
+	switch {
+	case n > 0 && strings.Contains(string(buf[:n]), "BUSY"):
+		f.turned.Add(1)
+	case err != nil && !os.IsTimeout(err):
+		f.turned.Add(1)
+	default:
+		f.taken.Add(1)
+		f.mu.Lock()
+		f.open = append(f.open, c)
+		f.mu.Unlock()
+		if f.loop {
+			go f.ask(c, uint64(f.tried.Load()))
+		}
+		return
+	}
+	_ = c.Close()
+}
+
+// ask asks for one object that nobody has after the other, four each 40 ms, until the connection ends.
+func (f *flood) ask(c net.Conn, id uint64) {
+	_ = c.SetReadDeadline(time.Time{})
+	go func() {
+		buf := make([]byte, 32<<10)
+		for {
+			if _, err := c.Read(buf); err != nil {
+				return
+			}
+		}
+	}()
+	for tag := uint64(1); ; tag++ {
+		fields := fmt.Sprintf("req=%016x,timeout=3000,subject=%016x,piece=0,lot=1,need=30", uint64(time.Now().UnixNano())^id<<40, id<<20|tag)
+		if _, err := c.Write(frame("DO", strconv.FormatUint(tag, 10), "clip", fields, "")); err != nil {
+			return
+		}
+		if tag%4 == 0 {
+			time.Sleep(40 * time.Millisecond)
+		}
+	}
+}
+
+func (f *flood) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.open {
+		_ = c.Close()
+	}
+	f.open = nil
+}
+
+// crew is a known client that opens a new connection for each view, as a tablet with a poor signal does.
+type crew struct {
+	address, from string
+	keys          *tls.Config
+
+	mu    sync.Mutex
+	views []crewView
+}
+
+type crewView struct {
+	at        time.Time
+	connected time.Duration // 0: it did not within a second
+	word      string
+	took      time.Duration
+	answers   int
+	picked    bool // the connection was taken and the view was written whole
+}
+
+func (c *crew) run(every time.Duration, until time.Time) {
+	var wait sync.WaitGroup
+	for n := 0; time.Now().Before(until); n++ {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			v := c.view(uint64(n))
+			c.mu.Lock()
+			c.views = append(c.views, v)
+			c.mu.Unlock()
+		}()
+		time.Sleep(every)
+	}
+	wait.Wait()
+}
+
+// view connects, trying again for a second, asks for one object and takes what comes.
+func (c *crew) view(n uint64) (v crewView) {
+	v.at = time.Now()
+	var up net.Conn
+	for time.Since(v.at) < time.Second {
+		d := net.Dialer{Timeout: time.Second - time.Since(v.at), LocalAddr: &net.TCPAddr{IP: net.ParseIP(c.from)}}
+		raw, err := d.Dial("tcp", c.address)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		up = raw
+		if c.keys != nil {
+			t := tls.Client(raw, c.keys)
+			_ = t.SetDeadline(time.Now().Add(time.Second))
+			if err := t.Handshake(); err != nil {
+				_ = raw.Close()
+				up = nil
+				time.Sleep(20 * time.Millisecond)
+				continue
+			}
+			up = t
+		}
+		break
+	}
+	if up == nil {
+		return v
+	}
+	defer func() { _ = up.Close() }()
+	v.connected = max(1, time.Since(v.at))
+	asked := time.Now()
+	fields := fmt.Sprintf("req=%016x,timeout=2000,subject=%016x,piece=0,lot=1,need=30", uint64(time.Now().UnixNano()), n%20+1)
+	_ = up.SetDeadline(time.Now().Add(2200 * time.Millisecond))
+	if _, err := up.Write(frame("DO", "1", "clip", fields, "")); err != nil {
+		return v
+	}
+	v.picked = true
+	buf := make([]byte, 0, 8<<10)
+	part := make([]byte, 8<<10)
+	for {
+		n, err := up.Read(part)
+		buf = append(buf, part[:n]...)
+		text := string(buf)
+		if v.answers == 0 && strings.HasSuffix(text, "\r\n") && len(text) > 20 || strings.HasPrefix(text, "-") {
+			v.took, v.answers = time.Since(asked), 1
+			switch {
+			case strings.Contains(text, "\r\nOK\r\n"):
+				v.word = "OK"
+			case strings.Contains(text, "BUSY"):
+				v.word = "BUSY"
+			default:
+				v.word = "FAILED"
+			}
+			_ = up.SetDeadline(time.Now().Add(20 * time.Millisecond)) // for a second one
+		}
+		if err != nil {
+			return v
+		}
+	}
+}
+
+type crewSeen struct {
+	views, connected, served, inTime, turned, lost int
+	p99                                            time.Duration
+}
+
+func (c *crew) seen() (s crewSeen) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, v := range c.views {
+		s.views++
+		if v.connected > 0 {
+			s.connected++
+		}
+		switch {
+		case v.word == "OK":
+			s.served++
+			if v.connected+v.took <= 410*time.Millisecond {
+				s.inTime++
+			}
+		case v.word == "BUSY":
+			s.turned++
+		case v.picked && v.answers == 0:
+			s.lost++
+		}
+		s.p99 = max(s.p99, v.connected)
+	}
+	return s
+}
+
+// gate is the operator's file of the experiments: crews are known by their address.
+func gate(tlsPart map[string]any) map[string]any {
+	f := map[string]any{"admission": map[string]any{"known": []string{"127.0.1.0/24"}, "reserve": 100, "per_address": 32, "new_per_s": 200, "burst": 64, "views_per_address": 64, "views": 256}}
+	if tlsPart != nil {
+		f["tls"] = tlsPart
+	}
+	return f
+}
+
+// besieged plays one arm: a crew works, a flood comes, and what became of both is told.
+func besieged(r *Result, name string, o Options, operator map[string]any, keys *tls.Config, fl func(address string) *flood, n int, rate float64,
+	during func(s *Scene)) (calm, hard crewSeen, f *flood, err error) {
+	set := site(1, false)
+	set.SizeKB, set.Objects = 30, 30
+	set.Extra = operator
+	s, err := NewScene(o.Seed, set)
+	if err != nil {
+		return calm, hard, nil, err
+	}
+	if err := s.Start(1); err != nil {
+		s.End()
+		return calm, hard, nil, err
+	}
+	address := s.Routers[0].Address
+	quiet := &crew{address: address, from: "127.0.1.7", keys: keys}
+	quiet.run(10*time.Millisecond, time.Now().Add(o.long(1500*time.Millisecond)))
+	calm = quiet.seen()
+	f = fl(address)
+	besiegedCrew := &crew{address: address, from: "127.0.1.7", keys: keys}
+	go s.Play(Load{Rate: 50, For: o.long(3 * time.Second)}) // others that were there before
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.run(n, rate, 64)
+	}()
+	if during != nil {
+		go during(s)
+	}
+	besiegedCrew.run(10*time.Millisecond, time.Now().Add(o.long(3*time.Second)))
+	<-done
+	time.Sleep(200 * time.Millisecond)
+	use := s.Routers[0].Use()
+	f.end()
+	ended := time.Now()
+	normal := -1.0
+	for time.Since(ended) < 5*time.Second {
+		if v := (&crew{address: address, from: "127.0.2.9", keys: keys}).view(1); v.word == "OK" {
+			normal = time.Since(ended).Seconds()
+			break
+		}
+	}
+	hard = besiegedCrew.seen()
+	seen := s.End()
+	r.rules(name, seen)
+	r.figure(name+" crew connects", float64(hard.connected)/float64(max(1, hard.views)))
+	r.figure(name+" crew due share calm", float64(calm.inTime)/float64(max(1, calm.views)))
+	r.figure(name+" crew due share", float64(hard.inTime)/float64(max(1, hard.views)))
+	r.figure(name+" crew slowest connect ms", float64(hard.p99.Milliseconds()))
+	r.figure(name+" flood tried", float64(f.tried.Load()))
+	r.figure(name+" flood taken", float64(f.taken.Load()))
+	r.figure(name+" flood turned back", float64(f.turned.Load()))
+	r.figure(name+" s until normal", normal)
+	r.figure(name+" files at the peak", float64(use.Files))
+	return calm, hard, f, nil
+}
+
+// holds claims what crews must get during a flood.
+func holds(r *Result, name string, calm, hard crewSeen) {
+	r.claim(hard.views > 0 && float64(hard.connected) >= 0.99*float64(hard.views), name+": known clients connect within 1 s", "%d of %d", hard.connected, hard.views)
+	a, b := float64(calm.inTime)/float64(max(1, calm.views)), float64(hard.inTime)/float64(max(1, hard.views))
+	r.claim(b >= a-0.02, name+": their views keep their due times", "%.3f, calm %.3f", b, a)
+	r.claim(hard.lost == 0, name+": no view of theirs is lost", "%d", hard.lost)
+	r.claim(r.Figures[name+" s until normal"] >= 0, name+": strangers are served again after it", "%.2f s", r.Figures[name+" s until normal"])
+}
+
+func addresses(n int) (list []string) {
+	for i := range n {
+		list = append(list, fmt.Sprintf("127.%d.%d.%d", 10+i/62500, i/250%250, 1+i%250))
+	}
+	return list
+}
+
+var _ = register(Experiment{"admission-burst", "one address opens ten thousand connections, at once and at a steady rate", func(o Options, r *Result) error {
+	one := func(a string) *flood { return &flood{address: a, from: []string{"127.9.9.9"}, loop: true} }
+	n := o.many(10_000)
+	calm, hard, _, err := besieged(r, "burst", o, gate(nil), nil, one, n, 0, nil)
+	if err != nil {
+		return err
+	}
+	holds(r, "burst", calm, hard)
+	if calm, hard, _, err = besieged(r, "steady", o, gate(nil), nil, one, n/4, 1000, nil); err != nil {
+		return err
+	}
+	holds(r, "steady", calm, hard)
+	calm, hard, _, err = besieged(r, "no admission", o, nil, nil, one, n, 0, nil)
+	if err == nil {
+		r.figure("no admission crew lost", float64(hard.lost))
+	}
+	return err
+}})
+
+var _ = register(Experiment{"admission-many", "a thousand addresses flood together", func(o Options, r *Result) error {
+	many := func(a string) *flood { return &flood{address: a, from: addresses(1000), loop: true} }
+	n := o.many(10_000)
+	calm, hard, _, err := besieged(r, "many", o, gate(nil), nil, many, n, 0, nil)
+	if err != nil {
+		return err
+	}
+	holds(r, "many", calm, hard)
+	_, _, _, err = besieged(r, "no admission", o, nil, nil, many, n, 0, nil)
+	return err
+}})
+
+var _ = register(Experiment{"admission-descriptors", "descriptors run out while answers are owed", func(o Options, r *Result) error {
+	many := func(a string) *flood { return &flood{address: a, from: addresses(1000), loop: true} }
+	calm, hard, _, err := besieged(r, "taken away", o, gate(nil), nil, many, o.many(4000), 0, func(s *Scene) {
+		// The system takes most of them away while views are open; the router is not told.
+		time.Sleep(o.long(500 * time.Millisecond))
+		pid := s.Routers[0].cmd.Process.Pid
+		s.try(unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: 120, Max: 20_000}, nil))
+	})
+	if err != nil {
+		return err
+	}
+	holds(r, "taken away", calm, hard)
+	tight.Store(200) // fewer from the start than the configuration says
+	defer tight.Store(0)
+	if calm, hard, _, err = besieged(r, "few", o, gate(nil), nil, many, o.many(4000), 0, nil); err != nil {
+		return err
+	}
+	holds(r, "few", calm, hard)
+	return nil
+}})
+
+// tight is the bound on descriptors that routers are started with, 0: the system's.
+var tight atomic.Int64
+
+var _ = register(Experiment{"admission-handshakes", "half handshakes by the thousand; good and bad clients behind one address, told apart by certificate", func(o Options, r *Result) error {
+	program, err := Program()
+	if err != nil {
+		return err
+	}
+	folder, err := os.MkdirTemp("", "fennelab-keys")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	if out, err := exec.Command(program, "keys", folder, "--clients", "crew").CombinedOutput(); err != nil {
+		return fmt.Errorf("%w: %s", err, out)
+	}
+	pem, err := os.ReadFile(filepath.Join(folder, "ca.crt"))
+	if err != nil {
+		return err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(pem)
+	pair, err := tls.LoadX509KeyPair(filepath.Join(folder, "crew.crt"), filepath.Join(folder, "crew.key"))
+	if err != nil {
+		return err
+	}
+	keys := &tls.Config{RootCAs: pool, ServerName: "localhost", Certificates: []tls.Certificate{pair}}
+	part := map[string]any{"cert_file": filepath.Join(folder, "server.crt"), "key_file": filepath.Join(folder, "server.key"),
+		"client_ca_file": filepath.Join(folder, "ca.crt"), "client": "optional"}
+	half := func(a string) *flood { return &flood{address: a, from: addresses(200), half: true} }
+	calm, hard, _, err := besieged(r, "half", o, gate(part), keys, half, o.many(4000), 1500, func(s *Scene) {
+		time.Sleep(300 * time.Millisecond)
+		s.Routers[0].Signal(syscall.SIGHUP) // keys are read again meanwhile
+	})
+	if err != nil {
+		return err
+	}
+	holds(r, "half", calm, hard)
+	return nil
+}})
+
+var _ = register(Experiment{"admission-restart", "known clients that return all at once after a restart, among a flood", func(o Options, r *Result) error {
+	set := site(1, false)
+	set.SizeKB, set.Objects, set.Extra = 30, 30, gate(nil)
+	s, err := NewScene(o.Seed, set)
+	if err != nil {
+		return err
+	}
+	if err := s.Start(1); err != nil {
+		s.End()
+		return err
+	}
+	address := s.Routers[0].Address
+	f := &flood{address: address, from: addresses(500)}
+	stop := time.Now().Add(o.long(4 * time.Second))
+	go f.run(o.many(8000), 2500, 64)
+	time.Sleep(500 * time.Millisecond)
+	s.Kill(0)
+	s.again(0)
+	back := time.Now()
+	var crews []*crew
+	var wait sync.WaitGroup
+	for i := range 60 {
+		c := &crew{address: address, from: fmt.Sprintf("127.0.1.%d", i+1)}
+		crews = append(crews, c)
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			v := c.view(uint64(i))
+			c.mu.Lock()
+			c.views = append(c.views, v)
+			c.mu.Unlock()
+		}()
+	}
+	wait.Wait()
+	r.figure("60 crews back s", time.Since(back).Seconds())
+	in, served := 0, 0
+	for _, c := range crews {
+		n := c.seen()
+		in, served = in+n.connected, served+n.served
+	}
+	time.Sleep(time.Until(stop))
+	// SIGHUP and SIGTERM while it goes on.
+	s.Routers[0].Signal(syscall.SIGHUP)
+	f.end()
+	r.rules("restart", s.End())
+	r.claim(in == 60 && served >= 59, "all crews are back within a second and served", "%d connected, %d served of 60", in, served)
+	return nil
+}})
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -43,6 +43,7 @@
 	Holdoff  bool
 	Body     string
 	Failed   bool // the connection ended first
+	Ended    time.Time
 }
 
 // Took is the time from when it was meant to go.
@@ -167,7 +168,7 @@
 		if err != nil {
 			c.over = true
 			for _, v := range c.open {
-				v.Failed = v.Answers == 0
+				v.Failed, v.Ended = v.Answers == 0, now
 			}
 			c.mu.Unlock()
 			_ = c.c.Close()
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -126,6 +126,9 @@
 // Start starts the process and waits until it answers PING with UP.
 func (r *Router) Start() error {
 	cmd := exec.Command(r.program, r.args...)
+	if n := tight.Load(); n > 0 { // the shell takes the bound upon itself and becomes the router
+		cmd = exec.Command("/bin/sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, n), r.program}, r.args...)...)
+	}
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+r.config(), "RELAY_OPERATOR=")
 	cmd.Stderr = &lockedWriter{r: r}
 	if err := cmd.Start(); err != nil {
--- a/rules/admission/admission.go
+++ b/rules/admission/admission.go
@@ -16,6 +16,7 @@
 	busy     bool
 	hands    bool // its handshake is not over
 	views    int
+	row      int           // views refused in a row
 	since    time.Duration // when it came, asked or came to rest
 	older    int32         // among those that rest
 	younger  int32
@@ -51,15 +52,19 @@
 	idle             int
 
 	shedTill time.Duration
+	allow    float64 // open views of all, past which a stranger has its share only
+	pacedAt  time.Duration
+	fits     int           // connections that descriptors were found to suffice for, 0: all
+	fitsAt   time.Duration // when that was last found or raised
 	Counts   Counts
 }
 
 // New returns decisions that know nobody.
 func New(set Settings) *Admission {
 	set.Remember = max(1, set.Remember)
-	set.Reserve = min(set.Reserve, set.Most-1)
+	set.Reserve = min(set.Reserve, set.Most/2) // somebody must be able to become known
 	a := &Admission{set: set, byConn: map[ConnID]int32{}, byPeer: map[Peer]int32{}, oldest: none, youngest: none,
-		cost: firstCost.Seconds()}
+		cost: firstCost.Seconds(), allow: float64(set.AllViews)}
 	for i := range a.rest {
 		a.rest[i] = list{none, none}
 	}
@@ -89,8 +94,8 @@
 // Set takes settings that changed; connections that are there stay.
 func (a *Admission) Set(set Settings) {
 	set.Remember = max(1, set.Remember)
-	set.Reserve = min(set.Reserve, set.Most-1)
-	a.set = set
+	set.Reserve = min(set.Reserve, set.Most/2) // somebody must be able to become known
+	a.set, a.allow = set, float64(set.AllViews)
 	for i := range a.peers {
 		if p := &a.peers[i]; a.byPeer[p.id] == int32(i) {
 			p.listed = set.Listed != nil && set.Listed(p.id)
@@ -114,7 +119,11 @@
 		a.Counts.Exhausted++
 		a.shedTill = a.now + shedFor
 		a.turn(signExhausted)
-		a.makeRoom(listed)
+		if a.fits == 0 || a.now-a.fitsAt >= shedFor/4 { // once for each time that they run out
+			a.fits, a.fitsAt = max(leastFits, int(fitsPart*float64(a.count))), a.now
+		}
+		for a.count > a.fits && a.makeRoom(listed) {
+		}
 		a.do(Action{Kind: Pause, Wait: pauseFor})
 	case e.Kind == EventAccepted:
 		a.restored()
@@ -132,6 +141,12 @@
 	pauseFor = 20 * ms
 	// shedFor is how long descriptors must have been to be had before strangers are taken again.
 	shedFor = 500 * ms
+	// fitsPart is the part of the connections of the moment that is kept when descriptors run out: the rest of them is what
+	// legs to nodes need. It grows by a twentieth each shedFor, down to leastFits it may fall.
+	fitsPart, fitsGrow, leastFits = 0.7, 0.05, 16
+	// After so many views refused in a row a connection is not read for the time that it was told: a client that does not
+	// heed it costs no more than one that does.
+	refusedRow = 8
 	// comeBack is the shortest time to come back that is told; it grows with how full it is, and each peer is told another.
 	comeBack = 250 * ms
 	// firstCost is what a handshake is taken to cost before any was seen: one signature and two products on a curve.
@@ -148,7 +163,21 @@
 	}
 }
 
+// most is how many connections there may be now.
+func (a *Admission) most() int {
+	if a.fits > 0 {
+		return min(a.set.Most, a.fits)
+	}
+	return a.set.Most
+}
+
 func (a *Admission) restored() {
+	if a.fits > 0 && a.now-a.fitsAt >= shedFor {
+		a.fitsAt = a.now
+		if a.fits += max(1, int(fitsGrow*float64(a.fits))); a.fits >= a.set.Most {
+			a.fits = 0
+		}
+	}
 	if a.mode == modeShedding && a.now >= a.shedTill {
 		a.turn(signRestored)
 	}
@@ -156,7 +185,7 @@
 }
 
 // open is how many places there are that strangers may take.
-func (a *Admission) open() int { return a.set.Most - a.set.Reserve }
+func (a *Admission) open() int { return max(1, a.most()-a.set.Reserve*a.most()/max(1, a.set.Most)) }
 
 // weigh tells the mode how full it is. What the known have taken of their reserve does not count.
 func (a *Admission) weigh() {
@@ -401,13 +430,25 @@
 		if c.busy {
 			c.busy, c.since = false, a.now
 			a.lie(i)
+			if a.count > a.most() && !c.reserved && a.standing(p) == stranger {
+				a.Counts.Ended++
+				a.do(Action{Kind: End, Conn: c.id})
+				a.gone(i)
+			}
 		}
 	case EventView:
+		a.pace(e.Took)
 		if !a.mayOpen(p) {
 			a.Counts.ViewsRefused++
-			a.do(Action{Kind: Refuse, Conn: c.id, Wait: a.back(c.id + ConnID(a.Counts.ViewsRefused))})
+			wait := a.back(c.id + ConnID(a.Counts.ViewsRefused))
+			a.do(Action{Kind: Refuse, Conn: c.id, Wait: wait})
+			if c.row++; c.row >= refusedRow {
+				c.row = 0
+				a.do(Action{Kind: Pause, Conn: c.id, Wait: max(wait, comeBack)})
+			}
 			return
 		}
+		c.row = 0
 		c.views++
 		p.views++
 		a.views++
@@ -429,14 +470,47 @@
 
 // mayOpen: a peer has its own bound on open views, and its share where all together have too many.
 func (a *Admission) mayOpen(p *peer) bool {
+	if a.mode == modeShedding && a.standing(p) == stranger {
+		return false // what is owed comes first
+	}
 	if a.set.Views > 0 && p.views >= a.set.Views {
 		return false
 	}
-	if a.set.AllViews <= 0 || a.views < a.set.AllViews {
+	if a.set.AllViews <= 0 {
+		return true
+	}
+	all := float64(a.set.AllViews)
+	if a.standing(p) == stranger {
+		all = a.allow
+	}
+	if float64(a.views) < all {
 		return true
 	}
 	with := len(a.byPeer) - a.idle
-	return p.views < max(1, a.set.AllViews/max(1, with))
+	share := all / float64(max(1, with)) * parts[a.mode][a.standing(p)]
+	return float64(p.views) < max(1, share)
+}
+
+const (
+	// lagMost is how long an event may wait for the engine before strangers get fewer views: some times what it waits on a
+	// busy day, and little beside a due time.
+	lagMost = 3 * ms
+	// The views allowed to strangers fall by a fifth, or grow by a twentieth, each paceEach: down in a tenth of a second,
+	// back in one; never under leastViews, so that it shows when the engine has caught up.
+	paceEach, paceDown, paceUp, leastViews = 20 * ms, 0.8, 1.05, 8
+)
+
+// pace has the views allowed to strangers follow how long events wait for the engine.
+func (a *Admission) pace(lag time.Duration) {
+	if a.set.AllViews <= 0 || a.now-a.pacedAt < paceEach {
+		return
+	}
+	a.pacedAt = a.now
+	if lag > lagMost {
+		a.allow = math.Max(leastViews, a.allow*paceDown)
+	} else {
+		a.allow = math.Min(float64(a.set.AllViews), a.allow*paceUp)
+	}
 }
 
 // move has a connection count for the certificate that it showed: behind one address, each has its own.
--- a/rules/admission/iface.go
+++ b/rules/admission/iface.go
@@ -54,7 +54,7 @@
 	EventArrive    EventKind = iota // Conn Peer TLS
 	EventShown                      // Conn Peer: the handshake is over; Peer is the certificate's, or none; Took
 	EventAsked                      // Conn: a whole message came
-	EventView                       // Conn: it wants to open a view
+	EventView                       // Conn Took: it wants to open a view; how long events wait for the engine
 	EventViewEnd                    // Conn InTime: one of its views has its answer
 	EventBusy                       // Conn: something is open or to be written
 	EventRests                      // Conn: nothing is any more
@@ -81,7 +81,7 @@
 	Refuse                   // with a word and the time to come back
 	Drop                     // without a word
 	End                      // another connection, which rests, makes room
-	Pause                    // accept nothing for so long
+	Pause                    // accept nothing for so long, or read nothing of the connection
 	Log                      // Text
 )
 
