--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -75,6 +75,7 @@
 	}
 	doors.Lag = eng.Lag
 	server := front.New(lim, c.Names, c.Rules.Tariffs, doors, post, log)
+	pool.Short = server.Short
 
 	var known bulletin.Page
 	if len(c.Known) > 0 {
--- a/internal/back/link.go
+++ b/internal/back/link.go
@@ -56,6 +56,7 @@
 	words   []byte                     // aborts and probes to come
 	heard   int                        // whole answers
 	doubt   bool                       // a leg was given up without a whole answer meanwhile, nor one since
+	short   bool                       // it never came up for want of a descriptor: that tells nothing of the node
 	ends    []any                      // engine.LegEnd and engine.Probed, to be taken by the driver
 }
 
@@ -324,6 +325,9 @@
 		if o.end == 0 || o.end > k.out.Written {
 			how = rules.Unconnected
 		}
+		if k.short {
+			how = rules.Moot
+		}
 		k.ends = append(k.ends, engine.LegEnd{Leg: o.leg, Outcome: how})
 	}
 	for _, tag := range slices.Sorted(maps.Keys(k.probes)) {
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -28,6 +28,8 @@
 	post   func(at time.Time, what any)
 	log    *zap.Logger
 
+	Short func() // if set, is called when there is no descriptor for a connection
+
 	mu    sync.Mutex
 	nodes map[rules.NodeID]*node
 	conns int
@@ -264,7 +266,17 @@
 func (c *conn) run(address string) {
 	defer c.end()
 	up, err := net.DialTimeout("tcp", address, c.pool.limits.Connect)
+	for n := 0; limits.Exhausted(err) && n < c.pool.limits.Redials; n++ {
+		if c.pool.Short != nil {
+			c.pool.Short() // others may make room: legs under way come first
+		}
+		time.Sleep(c.pool.limits.Pause)
+		up, err = net.DialTimeout("tcp", address, c.pool.limits.Connect)
+	}
 	if err != nil {
+		c.mu.Lock()
+		c.link.short = limits.Exhausted(err)
+		c.mu.Unlock()
 		return
 	}
 	c.mu.Lock()
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"fennelarch/internal/engine"
+	"fennelarch/internal/limits"
 	"fennelarch/internal/resp"
 	"fennelarch/rules/admission"
 )
@@ -73,16 +74,6 @@
 	return a, said
 }
 
-// exhausted says whether an accept failed for want of descriptors or memory.
-func exhausted(err error) bool {
-	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
-		if errors.Is(err, e) {
-			return true
-		}
-	}
-	return false
-}
-
 // Accept returns the next connection that is taken; those that are not are turned back on the way. It waits for nothing
 // but the network, and for the pause that the decisions want where descriptors run out.
 func (l listener) Accept() (net.Conn, error) {
@@ -90,8 +81,10 @@
 	for {
 		up, err := l.Listener.Accept()
 		switch {
-		case err != nil && exhausted(err):
-			s.overflow(l.Listener)
+		case err != nil && limits.Exhausted(err):
+			if c := s.overflow(l.Listener); c != nil {
+				return c, nil
+			}
 			continue
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
@@ -126,21 +119,64 @@
 	s.mu.Lock()
 	delete(s.conns, c.id)
 	s.mu.Unlock()
-	if a.Kind == admission.Refuse && s.turned.Add(1) <= int64(s.shared.limits.Turned) {
+	if a.Kind == admission.Refuse && s.spare.file != nil && s.turned.Add(1) <= int64(s.shared.limits.Turned) {
 		go func() {
 			defer s.turned.Add(-1)
 			s.turnBack(up, a.Wait)
 		}()
 		return nil
 	} else if a.Kind == admission.Refuse {
-		s.turned.Add(-1)
-		_ = up.SetWriteDeadline(time.Now().Add(time.Millisecond))
-		_, _ = up.Write(word(a.Wait))
+		if s.spare.file != nil {
+			s.turned.Add(-1)
+		}
+		s.turnBackAtOnce(up, a.Wait)
 	}
 	_ = up.Close()
 	return nil
 }
 
+// turnBackAtOnce answers what has come by now, or says so unasked, and waits for nothing: there are too many to be polite.
+func (s *Server) turnBackAtOnce(up net.Conn, wait time.Duration) {
+	l := &s.shared.limits
+	buf, n := make([]byte, 4<<10), 0
+	if raw, can := up.(syscall.Conn); can {
+		if c, err := raw.SyscallConn(); err == nil {
+			_ = c.Read(func(fd uintptr) bool { // once, whatever comes of it
+				n, _ = syscall.Read(int(fd), buf)
+				return true
+			})
+		}
+	}
+	in, dec := resp.Ring{Bound: l.ClientIn}, resp.Decoder{Args: l.Strings, Size: l.ClientIn - 2*l.Fields, Most: l.ClientIn}
+	in.Append(buf[:max(0, n)])
+	out := answers(nil, &dec, &in, l.Fields, wait)
+	if len(out) == 0 {
+		out = word(wait)
+	}
+	_ = up.SetWriteDeadline(time.Now().Add(time.Millisecond))
+	_, _ = up.Write(out)
+}
+
+// answers adds the refusal of each whole message that has come.
+func answers(b []byte, dec *resp.Decoder, in *resp.Ring, fields int, wait time.Duration) []byte {
+	for {
+		args, err := dec.Next(in)
+		if args == nil || err != nil {
+			return b
+		}
+		if len(args) < 2 || len(args[1]) > fields {
+			continue
+		}
+		what, hold := "BUSY", ""
+		if v := string(args[0]); v != "DO" && v != "PING" {
+			what = "FAILED"
+		} else if wait > 0 {
+			hold = fmt.Sprintf("holdoff=%d", max(1, wait.Milliseconds()))
+		}
+		b = resp.AppendWords(b, string(args[1]), what, hold, "")
+	}
+}
+
 // word is what a client is told that has not asked for anything: an error that any reader of RESP knows for one.
 func word(wait time.Duration) []byte {
 	if wait <= 0 {
@@ -160,24 +196,8 @@
 	for !told {
 		n, err := up.Read(in.Tail())
 		in.Commit(n)
-		for {
-			args, bad := dec.Next(&in)
-			if bad != nil {
-				err = bad
-			}
-			if args == nil || bad != nil {
-				break
-			}
-			if len(args) < 2 || len(args[1]) > l.Fields {
-				continue
-			}
-			what, fields := "BUSY", ""
-			if v := string(args[0]); v != "DO" && v != "PING" {
-				what = "FAILED"
-			} else if wait > 0 {
-				fields = fmt.Sprintf("holdoff=%d", max(1, wait.Milliseconds()))
-			}
-			if _, err := up.Write(resp.AppendWords(nil, string(args[1]), what, fields, "")); err != nil {
+		if out := answers(nil, &dec, &in, l.Fields, wait); len(out) > 0 {
+			if _, err := up.Write(out); err != nil {
 				return
 			}
 			told = true
@@ -203,22 +223,31 @@
 	}
 }
 
-// overflow: there is no descriptor left. The spare one is given up for one more connection, which is told so; then nothing
-// is accepted for as long as the decisions say.
-func (s *Server) overflow(l net.Listener) {
+// Short says that no descriptor was left for something else: connections that rest make room for it.
+func (s *Server) Short() { s.tell(admission.Event{Kind: admission.EventShort}) }
+
+// overflow: there is no descriptor left. The spare one is given up, and whoever comes in the time that the decisions say is
+// told so by it, or taken if they may be where the decisions have made room; then it is held again.
+func (s *Server) overflow(l net.Listener) *conn {
+	defer s.spare.hold()
 	a, _ := s.tell(admission.Event{Kind: admission.EventExhausted})
 	s.spare.release()
 	if t, can := l.(*net.TCPListener); can {
-		_ = t.SetDeadline(time.Now().Add(time.Millisecond))
-		if up, err := t.Accept(); err == nil {
-			_ = up.SetWriteDeadline(time.Now().Add(time.Millisecond))
-			_, _ = up.Write(word(0))
-			_ = up.Close()
+		// All that wait are told at once, by one descriptor after the other: who waits in the system's queue believes to be taken.
+		_ = t.SetDeadline(time.Now().Add(a.Wait))
+		for range s.shared.limits.Sockets {
+			up, err := t.Accept()
+			if err != nil {
+				break
+			}
+			if c := s.arrive(up); c != nil { // room was made for it
+				_ = t.SetDeadline(time.Time{})
+				return c
+			}
 		}
 		_ = t.SetDeadline(time.Time{})
 	}
-	s.spare.hold()
-	time.Sleep(a.Wait)
+	return nil
 }
 
 // newConn wraps a connection; over TLS its bytes are those inside.
@@ -239,7 +268,12 @@
 		e.Took = c.server.lag()
 	}
 	a, said := c.server.tell(e)
-	return a.Wait, said && a.Kind == admission.Take
+	taken := said && a.Kind == admission.Take
+	if taken && !c.busy { // the decisions take it for busy from here on: its end would lose the view
+		c.busy = true
+		c.server.busy.Add(1)
+	}
+	return a.Wait, taken
 }
 
 var _ engine.Client = (*conn)(nil)
--- a/internal/lab/admission.go
+++ b/internal/lab/admission.go
@@ -137,6 +137,7 @@
 	word      string
 	took      time.Duration
 	answers   int
+	why       string
 	picked    bool // the connection was taken and the view was written whole
 }
 
@@ -212,6 +213,9 @@
 			_ = up.SetDeadline(time.Now().Add(20 * time.Millisecond)) // for a second one
 		}
 		if err != nil {
+			if v.answers == 0 {
+				v.why = fmt.Sprintf("%v after %v with %q", err, time.Since(asked).Round(time.Millisecond), buf[:min(40, len(buf))])
+			}
 			return v
 		}
 	}
@@ -220,6 +224,7 @@
 type crewSeen struct {
 	views, connected, served, inTime, turned, lost int
 	p99                                            time.Duration
+	why                                            string // the first one was lost
 }
 
 func (c *crew) seen() (s crewSeen) {
@@ -239,7 +244,9 @@
 		case v.word == "BUSY":
 			s.turned++
 		case v.picked && v.answers == 0:
-			s.lost++
+			if s.lost++; s.why == "" {
+				s.why = v.why
+			}
 		}
 		s.p99 = max(s.p99, v.connected)
 	}
@@ -304,6 +311,8 @@
 	r.figure(name+" crew due share calm", float64(calm.inTime)/float64(max(1, calm.views)))
 	r.figure(name+" crew due share", float64(hard.inTime)/float64(max(1, hard.views)))
 	r.figure(name+" crew slowest connect ms", float64(hard.p99.Milliseconds()))
+	r.figure(name+" crew turned back", float64(hard.turned)/float64(max(1, hard.views)))
+	r.figure(name+" crew served late", float64(hard.served-hard.inTime)/float64(max(1, hard.views)))
 	r.figure(name+" flood tried", float64(f.tried.Load()))
 	r.figure(name+" flood taken", float64(f.taken.Load()))
 	r.figure(name+" flood turned back", float64(f.turned.Load()))
@@ -317,7 +326,7 @@
 	r.claim(hard.views > 0 && float64(hard.connected) >= 0.99*float64(hard.views), name+": known clients connect within 1 s", "%d of %d", hard.connected, hard.views)
 	a, b := float64(calm.inTime)/float64(max(1, calm.views)), float64(hard.inTime)/float64(max(1, hard.views))
 	r.claim(b >= a-0.02, name+": their views keep their due times", "%.3f, calm %.3f", b, a)
-	r.claim(hard.lost == 0, name+": no view of theirs is lost", "%d", hard.lost)
+	r.claim(hard.lost == 0, name+": no view of theirs is lost", "%d %s", hard.lost, hard.why)
 	r.claim(r.Figures[name+" s until normal"] >= 0, name+": strangers are served again after it", "%.2f s", r.Figures[name+" s until normal"])
 }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -62,7 +62,7 @@
 func (r *Result) rules(arm string, n *Seen) {
 	r.Arms[arm] = n
 	r.claim(n.Views > 0 && n.Lost == 0 && n.Twice == 0 && n.Late == 0, arm+": one final answer in time for each view",
-		"%d views, %d lost, %d answered twice, %d after their time", n.Views, n.Lost, n.Twice, n.Late)
+		"%d views, %d lost, %d answered twice, %d after their time %s", n.Views, n.Lost, n.Twice, n.Late, n.Why)
 	r.claim(n.RanTwice == 0 && n.Wrong == 0, arm+": nothing runs twice, every byte is right", "%d ran twice, %d with wrong bytes",
 		n.RanTwice, n.Wrong)
 	r.claim(n.AfterDrain == 0, arm+": drains are kept", "%d legs or sources past the grace", n.AfterDrain)
--- a/internal/lab/scene.go
+++ b/internal/lab/scene.go
@@ -251,7 +251,8 @@
 type Seen struct {
 	Views, Served, InTime, TurnedBack, Failed, Crossed, Lost, Twice, Late int
 	Stale, Wrong, RanTwice, AfterDrain                                    int
-	Fills                                                                 int // that the origin was asked for
+	Why                                                                   string // the last one was lost
+	Fills                                                                 int    // that the origin was asked for
 	Times                                                                 *hdrhistogram.Histogram
 	CPU                                                                   time.Duration // of all routers
 	PeakMB                                                                float64       // of the one that used most
@@ -346,6 +347,7 @@
 		return
 	case v.Answers == 0 && !killed:
 		n.Lost++
+		n.Why = fmt.Sprintf("sent %v after the start, ended %v later: %v", v.Sent.Sub(s.Begun).Round(time.Millisecond), v.Ended.Sub(v.Sent).Round(time.Millisecond), v.Failed)
 		return
 	case v.Answers == 0:
 		n.Failed++
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -3,7 +3,21 @@
 // of its own. What decides about views stands in package rules instead.
 package limits
 
-import "time"
+import (
+	"errors"
+	"syscall"
+	"time"
+)
+
+// Exhausted says whether a call failed because the process or the system has no descriptor, or no memory for one.
+func Exhausted(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
 
 // Limits is filled by From.
 type Limits struct {
@@ -16,6 +30,7 @@
 	Turned    int // connections that are being turned back with a word, beside those
 	Nodes     int // connections to all nodes together
 	NodeConns int // connections to one node
+	Redials   int // times that a connection is tried again for which there was no descriptor
 	Streams   int // legs open on one of them
 	Copied    int // answers on one of them of which a second copy is told from the answer to a further leg
 
@@ -92,7 +107,7 @@
 	}
 	return Limits{
 		Cores: t.Cores, Memory: int64(t.MemoryMB) << 20, Sockets: t.Sockets,
-		Clients: t.Sockets * 2 / 5, Turned: t.Sockets / 32, Nodes: t.Sockets * 2 / 5, NodeConns: t.Sockets / 8, Streams: streams, Copied: 32,
+		Clients: t.Sockets * 2 / 5, Turned: t.Sockets / 32, Nodes: t.Sockets * 2 / 5, NodeConns: t.Sockets / 8, Redials: 4, Streams: streams, Copied: 32,
 		Strings: 8, Request: 48_000, Object: 240_000, Fields: 1 << 10, KB: 1e9, Timeout: 2*t.LongestHard + time.Second,
 		ClientIn: 64 << 10, ClientOut: 32 << 10, NodeIn: 256 << 10, NodeOut: 64 << 10,
 		Copies: t.MemoryMB << 20 / 4, Answers: int64(t.MemoryMB) << 20 / 6, Events: 4 << 20,
--- a/rules/admission/admission.go
+++ b/rules/admission/admission.go
@@ -16,6 +16,7 @@
 	busy     bool
 	hands    bool // its handshake is not over
 	views    int
+	till     time.Duration // something may lie unread on it until then
 	row      int           // views refused in a row
 	since    time.Duration // when it came, asked or came to rest
 	older    int32         // among those that rest
@@ -85,6 +86,9 @@
 	if s.HandshakeCPU <= 0 {
 		s.HandshakeCPU = 0.3 // views need little of a core; a flood may not have half of it
 	}
+	if s.Rested <= 0 {
+		s.Rested = time.Second // a flood would end as many as it opens, and each costs more than a word
+	}
 	if s.Remember <= 0 {
 		s.Remember = 4096 // some 600 KB
 	}
@@ -119,12 +123,18 @@
 		a.Counts.Exhausted++
 		a.shedTill = a.now + shedFor
 		a.turn(signExhausted)
-		if a.fits == 0 || a.now-a.fitsAt >= shedFor/4 { // once for each time that they run out
+		if a.fits == 0 || a.now-a.fitsAt >= 2*pauseFor { // once for each time that they run out
 			a.fits, a.fitsAt = max(leastFits, int(fitsPart*float64(a.count))), a.now
 		}
 		for a.count > a.fits && a.makeRoom(listed) {
 		}
 		a.do(Action{Kind: Pause, Wait: pauseFor})
+	case e.Kind == EventShort:
+		a.shedTill = a.now + shedFor
+		a.turn(signExhausted)
+		for range shortRoom {
+			a.makeRoom(listed)
+		}
 	case e.Kind == EventAccepted:
 		a.restored()
 	case !known:
@@ -143,10 +153,14 @@
 	shedFor = 500 * ms
 	// fitsPart is the part of the connections of the moment that is kept when descriptors run out: the rest of them is what
 	// legs to nodes need. It grows by a twentieth each shedFor, down to leastFits it may fall.
-	fitsPart, fitsGrow, leastFits = 0.7, 0.05, 16
-	// After so many views refused in a row a connection is not read for the time that it was told: a client that does not
-	// heed it costs no more than one that does.
+	fitsPart, fitsGrow, leastFits = 0.5, 0.05, 16
+	// shortRoom is how many that rest make room where a connection to a node found none: it, and the next few.
+	shortRoom = 4
+	// After so many views refused in a row a connection is not read for comeBack: a client that does not
+	// heed it costs no more than one that does. At once where all is taken, or the engine lags.
 	refusedRow = 8
+	// crossing is how long before the end of a connection something may have been sent that is then sent again elsewhere.
+	crossing = 50 * ms
 	// comeBack is the shortest time to come back that is told; it grows with how full it is, and each peer is told another.
 	comeBack = 250 * ms
 	// firstCost is what a handshake is taken to cost before any was seen: one signature and two products on a curve.
@@ -353,7 +367,7 @@
 	found, longest := none, time.Duration(math.MaxInt64)
 	for k := range a.rest {
 		i := a.rest[k].oldest
-		for i != none && (a.conns[i].reserved || who == stranger && a.standing(&a.peers[a.conns[i].peer]) > stranger) {
+		for i != none && (a.conns[i].reserved || a.now < a.conns[i].till || who == stranger && a.standing(&a.peers[a.conns[i].peer]) > stranger) {
 			i = a.conns[i].younger
 		}
 		if i == none {
@@ -367,7 +381,7 @@
 			found, longest = i, since
 		}
 	}
-	if found == none {
+	if found == none || who == stranger && a.now-a.conns[found].since < a.set.Rested {
 		return false
 	}
 	a.Counts.Ended++
@@ -430,7 +444,7 @@
 		if c.busy {
 			c.busy, c.since = false, a.now
 			a.lie(i)
-			if a.count > a.most() && !c.reserved && a.standing(p) == stranger {
+			if a.count > a.most() && !c.reserved && a.now >= c.till && a.standing(p) == stranger {
 				a.Counts.Ended++
 				a.do(Action{Kind: End, Conn: c.id})
 				a.gone(i)
@@ -442,13 +456,18 @@
 			a.Counts.ViewsRefused++
 			wait := a.back(c.id + ConnID(a.Counts.ViewsRefused))
 			a.do(Action{Kind: Refuse, Conn: c.id, Wait: wait})
-			if c.row++; c.row >= refusedRow {
+			if c.row++; c.row >= refusedRow || a.mode >= modeFull || a.allow < float64(a.set.AllViews) {
 				c.row = 0
-				a.do(Action{Kind: Pause, Conn: c.id, Wait: max(wait, comeBack)})
+				c.till = a.now + comeBack + crossing
+				a.do(Action{Kind: Pause, Conn: c.id, Wait: comeBack})
 			}
 			return
 		}
 		c.row = 0
+		if !c.busy {
+			a.rise(i)
+			c.busy = true
+		}
 		c.views++
 		p.views++
 		a.views++
--- a/rules/admission/iface.go
+++ b/rules/admission/iface.go
@@ -42,6 +42,7 @@
 	HandshakeCPU float64       // part of a core that they may use
 	Remember     int           // peers of whom anything is remembered while they have no connection
 	Fresh        time.Duration // how much longer than one that has asked a connection counts as resting that has not
+	Rested       time.Duration // how long one must have rested to make room for a stranger
 	Tell         bool          // a time to come back may be told
 	MaxWait      time.Duration // the longest one
 	Listed       func(Peer) bool
@@ -60,6 +61,7 @@
 	EventRests                      // Conn: nothing is any more
 	EventGone                       // Conn
 	EventExhausted                  // no descriptor is left, in the process or the system
+	EventShort                      // none is left for a connection to a node
 	EventAccepted                   // a descriptor could be had again
 )
 
