--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -75,7 +75,7 @@
 	}
 	doors.Lag = eng.Lag
 	server := front.New(lim, c.Names, c.Rules.Tariffs, doors, post, log)
-	pool.Short = server.Short
+	pool.Short, server.Relieve = server.Short, pool.Relieve
 
 	var known bulletin.Page
 	if len(c.Known) > 0 {
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -228,6 +228,19 @@
 	return false
 }
 
+// Relieve ends the connections on which nothing is open: their descriptors are needed.
+func (p *Pool) Relieve() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range p.nodes {
+		for _, c := range n.conns {
+			if c.rests(0) {
+				go c.end()
+			}
+		}
+	}
+}
+
 // Abort gives a leg up and says whether it may have run.
 func (p *Pool) Abort(l *engine.Leg) bool {
 	c, sent := l.Carrier.(*conn)
@@ -267,6 +280,7 @@
 	defer c.end()
 	up, err := net.DialTimeout("tcp", address, c.pool.limits.Connect)
 	for n := 0; limits.Exhausted(err) && n < c.pool.limits.Redials; n++ {
+		c.pool.Relieve()
 		if c.pool.Short != nil {
 			c.pool.Short() // others may make room: legs under way come first
 		}
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -231,21 +231,29 @@
 func (s *Server) overflow(l net.Listener) *conn {
 	defer s.spare.hold()
 	a, _ := s.tell(admission.Event{Kind: admission.EventExhausted})
+	if s.Relieve != nil {
+		s.Relieve()
+	}
 	s.spare.release()
-	if t, can := l.(*net.TCPListener); can {
-		// All that wait are told at once, by one descriptor after the other: who waits in the system's queue believes to be taken.
-		_ = t.SetDeadline(time.Now().Add(a.Wait))
-		for range s.shared.limits.Sockets {
-			up, err := t.Accept()
-			if err != nil {
-				break
-			}
-			if c := s.arrive(up); c != nil { // room was made for it
-				_ = t.SetDeadline(time.Time{})
-				return c
+	t, can := l.(*net.TCPListener)
+	if !can {
+		time.Sleep(a.Wait)
+		return nil
+	}
+	// All that wait are told at once, by one descriptor after the other: who waits in the system's queue believes to be taken.
+	_ = t.SetDeadline(time.Now().Add(a.Wait))
+	defer func() { _ = t.SetDeadline(time.Time{}) }()
+	for range s.shared.limits.Sockets {
+		up, err := t.Accept()
+		if err != nil {
+			if limits.Exhausted(err) {
+				time.Sleep(a.Wait) // not even the spare one is to be had
 			}
+			return nil
+		}
+		if c := s.arrive(up); c != nil { // room was made for it
+			return c
 		}
-		_ = t.SetDeadline(time.Time{})
 	}
 	return nil
 }
@@ -285,7 +293,7 @@
 	}
 	begun := time.Now()
 	peer, err := c.server.keys.shake(c.Conn, c.server.shared.limits.Whole)
-	c.server.tell(admission.Event{Kind: admission.EventShown, Conn: c.id, Peer: peer, Took: c.server.keys.cost(time.Since(begun))})
+	c.server.tell(admission.Event{Kind: admission.EventShown, Conn: c.id, Peer: peer, Took: c.server.keys.cost(time.Since(begun), err)})
 	if err != nil {
 		c.server.keys.complain(c.server.log, err)
 		c.mu.Lock()
--- a/internal/front/keys.go
+++ b/internal/front/keys.go
@@ -86,8 +86,14 @@
 	return p, nil
 }
 
-// cost is what a handshake that took so long is taken to have cost: most of a long one is waiting.
-func (k *Keys) cost(took time.Duration) time.Duration { return min(took, 2*time.Millisecond) }
+// cost is what a handshake that took so long is taken to have cost: most of a long one is waiting, and one that failed
+// mostly never came to a signature.
+func (k *Keys) cost(took time.Duration, err error) time.Duration {
+	if err != nil {
+		return min(took, 100*time.Microsecond)
+	}
+	return min(took, time.Millisecond)
+}
 
 // complain logs a failed handshake, but not one after the other.
 func (k *Keys) complain(log *zap.Logger, err error) {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -33,7 +33,9 @@
 	keys   *Keys // none: connections are plain
 	spare  *spare
 	lag    func() time.Duration
-	turned atomic.Int64 // connections that are being turned back
+
+	Relieve func()       // if set, is called when no descriptor is left: others may have some to spare
+	turned  atomic.Int64 // connections that are being turned back
 
 	busy atomic.Int64 // connections on which something is open or to be written
 
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -4,6 +4,7 @@
 // that are kept; and the record of what came back. A time counts from when the view was meant to go.
 
 import (
+	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -66,6 +67,7 @@
 type Clients struct {
 	address string
 	router  int
+	keys    *tls.Config // none: plainly
 
 	mu    sync.Mutex
 	conns []*conn
@@ -154,6 +156,9 @@
 	if err != nil {
 		return nil
 	}
+	if k.keys != nil {
+		up = tls.Client(up, k.keys)
+	}
 	c := &conn{c: up, open: map[string]*View{}}
 	k.conns = append(k.conns, c)
 	go c.read()
--- a/internal/lab/scene.go
+++ b/internal/lab/scene.go
@@ -4,6 +4,7 @@
 // is played on it, and what was seen of it in the end.
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -29,6 +30,7 @@
 	Shared   map[string]any // of the operator's file
 	Listed   bool           // the list names the store
 	Extra    map[string]any // of the operator's file besides
+	Keys     *tls.Config    // with which clients speak, none: plainly
 	Boxes    int
 	Objects  int
 	Groups   int
@@ -153,7 +155,10 @@
 			return err
 		}
 		s.Routers = append(s.Routers, r)
-		s.Clients = append(s.Clients, NewClients(i, r.Address, s.Seed*1000+uint64(i)))
+		r.secure = s.Keys != nil
+		c := NewClients(i, r.Address, s.Seed*1000+uint64(i))
+		c.keys = s.Keys
+		s.Clients = append(s.Clients, c)
 	}
 	errs := make(chan error, n)
 	for _, r := range s.Routers[from:] {
--- a/rules/admission/admission.go
+++ b/rules/admission/admission.go
@@ -44,7 +44,6 @@
 	hands  int
 	cpu    float64 // seconds of handshakes that may be spent now
 	cpuAt  time.Duration
-	cost   float64 // seconds of one
 
 	peers            []peer
 	freePeers        []int32
@@ -65,7 +64,7 @@
 	set.Remember = max(1, set.Remember)
 	set.Reserve = min(set.Reserve, set.Most/2) // somebody must be able to become known
 	a := &Admission{set: set, byConn: map[ConnID]int32{}, byPeer: map[Peer]int32{}, oldest: none, youngest: none,
-		cost: firstCost.Seconds(), allow: float64(set.AllViews)}
+		allow: float64(set.AllViews)}
 	for i := range a.rest {
 		a.rest[i] = list{none, none}
 	}
@@ -163,8 +162,6 @@
 	crossing = 50 * ms
 	// comeBack is the shortest time to come back that is told; it grows with how full it is, and each peer is told another.
 	comeBack = 250 * ms
-	// firstCost is what a handshake is taken to cost before any was seen: one signature and two products on a curve.
-	firstCost = time.Millisecond
 )
 
 func (a *Admission) do(x Action) { a.acts = append(a.acts, x) }
@@ -239,7 +236,7 @@
 		p.score = math.Max(0, p.score-refusedCosts)
 		return a.refuse(e, Refuse)
 	}
-	if e.TLS && !a.mayShake() {
+	if e.TLS && !a.mayShake(known) {
 		return a.refuse(e, Drop) // it could not read a word yet
 	}
 	v := doors[a.mode][known]
@@ -362,12 +359,13 @@
 
 // makeRoom ends the connection that rested longest, and says whether there was one. One that has not asked for anything yet
 // goes before those that have, unless it has only just come. None of the reserve is ended, and none of a known peer for a
-// stranger.
+// stranger. What may lie unread on one ends with it only where descriptors have run out: it was not picked up, and what was
+// comes first.
 func (a *Admission) makeRoom(who standing) bool {
 	found, longest := none, time.Duration(math.MaxInt64)
 	for k := range a.rest {
 		i := a.rest[k].oldest
-		for i != none && (a.conns[i].reserved || a.now < a.conns[i].till || who == stranger && a.standing(&a.peers[a.conns[i].peer]) > stranger) {
+		for i != none && (a.conns[i].reserved || who < listed && a.now < a.conns[i].till || who == stranger && a.standing(&a.peers[a.conns[i].peer]) > stranger) {
 			i = a.conns[i].younger
 		}
 		if i == none {
@@ -390,22 +388,40 @@
 	return true
 }
 
-// mayShake says whether one more handshake may begin: there is a place, and the time that they may use.
-func (a *Admission) mayShake() bool {
-	if a.set.Handshakes > 0 && a.hands >= a.set.Handshakes {
-		return false
+const (
+	// strangersShake is the part of the handshakes at once that strangers may have, and slowShake how long one of theirs may
+	// take before it makes room for another: several round trips across a continent.
+	strangersShake, slowShake = 0.75, 300 * ms
+	// knownShake is how far the known may overdraw the time for handshakes, in seconds of all of it.
+	knownShake = 1.0
+)
+
+// mayShake says whether one more handshake may begin: there is a place, or one that takes long makes it, and the time that
+// they may use is not spent. What they cost is known when they are over: half a handshake costs next to nothing.
+func (a *Admission) mayShake(who standing) bool {
+	if a.set.HandshakeCPU > 0 {
+		a.cpu = math.Min(a.set.HandshakeCPU/4, a.cpu+a.set.HandshakeCPU*(a.now-a.cpuAt).Seconds())
+		a.cpuAt = a.now
+		if least := -knownShake * a.set.HandshakeCPU; a.cpu < least || who == stranger && a.cpu <= 0 {
+			return false
+		}
+	}
+	most := a.set.Handshakes
+	if who == stranger {
+		most = int(strangersShake * float64(most))
 	}
-	if a.set.HandshakeCPU <= 0 {
+	if a.set.Handshakes <= 0 || a.hands < most {
 		return true
 	}
-	a.cpu = math.Min(a.set.HandshakeCPU/4, a.cpu+a.set.HandshakeCPU*(a.now-a.cpuAt).Seconds())
-	a.cpuAt = a.now
-	if a.cpu < a.cost {
-		return false
+	for i := a.rest[1].oldest; i != none; i = a.conns[i].younger {
+		if c := &a.conns[i]; c.hands && !c.reserved && a.now-c.since >= slowShake {
+			a.Counts.Ended++
+			a.do(Action{Kind: End, Conn: c.id})
+			a.gone(i)
+			return true
+		}
 	}
-	a.cpu -= a.cost
-	a.Counts.Handshakes++
-	return true
+	return false
 }
 
 // heard takes what came of a connection that was taken.
@@ -417,9 +433,8 @@
 		if c.hands {
 			c.hands = false
 			a.hands--
-			if e.Took > 0 {
-				a.cost += 0.1 * (e.Took.Seconds() - a.cost)
-			}
+			a.Counts.Handshakes++
+			a.cpu -= e.Took.Seconds()
 		}
 		if e.Peer != (Peer{}) {
 			a.move(i, e.Peer)
@@ -444,7 +459,7 @@
 		if c.busy {
 			c.busy, c.since = false, a.now
 			a.lie(i)
-			if a.count > a.most() && !c.reserved && a.now >= c.till && a.standing(p) == stranger {
+			if a.count > a.most() && !c.reserved && (a.now >= c.till || a.mode == modeShedding) && a.standing(p) == stranger {
 				a.Counts.Ended++
 				a.do(Action{Kind: End, Conn: c.id})
 				a.gone(i)
