--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -387,3 +387,21 @@
 	r.claim(seen.Store.Given > 0 && seen.Share() >= 0.97, "views are in time all the same", "%.4f", seen.Share())
 	return nil
 }})
+
+var _ = register(Experiment{"store-cost", "what a view costs by way of a store, beside one by way of a cache", func(o Options, r *Result) error {
+	l := Load{Rate: 300, For: o.long(6 * time.Second)}
+	box := site(2, false)
+	box.Boxes = 1
+	base, err := arm(r, "cache", o.Seed, box, 2, l, nil)
+	if err != nil {
+		return err
+	}
+	seen, err := arm(r, "store", o.Seed, warm(site(2, true)), 2, l, nil)
+	if err != nil {
+		return err
+	}
+	r.claim(seen.Share() >= base.Share()-0.01, "a store is as good as a cache", "%.4f of views in time, by a cache %.4f", seen.Share(), base.Share())
+	r.claim(seen.CPU <= 2*base.CPU, "and costs less than twice its processor time", "%v and %v", seen.CPU, base.CPU)
+	r.claim(seen.PeakMB <= base.PeakMB+16, "and no more than 16 MB besides", "%.0f MB and %.0f MB", seen.PeakMB, base.PeakMB)
+	return nil
+}})
