--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -81,6 +81,7 @@
 	putting int64                      // length of the body that is being put into the stream
 	closed  bool
 	good    bool  // the view that is being shut was served
+	back    bool  // or turned back
 	events  []any // *engine.Ask and engine.Gone, to be taken by the driver
 
 	admits func(admission.Event) (wait time.Duration, taken bool) // asks whether a view may be opened, and tells of its end
@@ -172,16 +173,17 @@
 	case "PING":
 		s.say(answer{tag: string(args[1]), word: "UP"})
 	case "DO":
+		// Asked before it is read: a view that is not let in must cost next to nothing.
+		if wait, taken := s.admits(admission.Event{Kind: admission.EventView}); !taken {
+			s.busy(string(args[1]), wait)
+			return nil
+		}
 		a := s.ask(args[2:])
 		if a == nil || len(s.open) >= s.shared.limits.Open || !s.shared.claim(a) {
+			s.admits(admission.Event{Kind: admission.EventViewEnd})
 			s.fail(string(args[1]))
 			return nil
 		}
-		if wait, taken := s.admits(admission.Event{Kind: admission.EventView}); !taken {
-			s.shared.release(a.Ident)
-			s.busy(string(args[1]), wait)
-			return nil
-		}
 		a.View, a.Client, a.Tag, a.At = rules.ViewID(s.shared.views.Add(1)), s.client, tag, now
 		s.open[tag] = a
 		s.events = append(s.events, a)
@@ -215,8 +217,8 @@
 func (s *session) shut(tag engine.Tag) {
 	a := s.open[tag]
 	late := time.Since(a.At) > s.shared.due[a.Tariff]+time.Duration(a.KB*s.shared.growth[a.Tariff]*float64(time.Second))
-	s.admits(admission.Event{Kind: admission.EventViewEnd, InTime: s.good && !late})
-	s.good = false
+	s.admits(admission.Event{Kind: admission.EventViewEnd, InTime: s.good && !late, Back: s.back})
+	s.good, s.back = false, false
 	s.shared.release(s.open[tag].Ident)
 	delete(s.open, tag)
 }
@@ -316,7 +318,7 @@
 	if _, open := s.open[tag]; !open {
 		return
 	}
-	s.good = a.Verdict == engine.Succeeded
+	s.good, s.back = a.Verdict == engine.Succeeded, a.Verdict == engine.TurnedBack
 	s.shut(tag)
 	w := answer{tag: strconv.FormatUint(uint64(tag), 10), word: "FAILED"}
 	switch {
--- a/internal/lab/admission.go
+++ b/internal/lab/admission.go
@@ -308,6 +308,11 @@
 		}
 	}
 	hard = besiegedCrew.seen()
+	for _, v := range besiegedCrew.views {
+		if v.word != "OK" {
+			o.note("%s: at %v of the flood %q after %v", name, v.at.Sub(besiegedCrew.views[0].at).Round(time.Millisecond), v.word, v.took.Round(time.Millisecond))
+		}
+	}
 	seen := s.End()
 	r.rules(name, seen)
 	r.figure(name+" crew connects", float64(hard.connected)/float64(max(1, hard.views)))
--- a/rules/admission/admission.go
+++ b/rules/admission/admission.go
@@ -54,6 +54,7 @@
 	shedTill time.Duration
 	allow    float64 // open views of all, past which a stranger has its share only
 	pacedAt  time.Duration
+	pressed  bool          // a known peer's view was turned back since then
 	fits     int           // connections that descriptors were found to suffice for, 0: all
 	fitsAt   time.Duration // when that was last found or raised
 	Counts   Counts
@@ -493,6 +494,9 @@
 			p.views--
 			a.views--
 		}
+		if e.Back && a.standing(p) > stranger {
+			a.pressed = true
+		}
 		if e.InTime {
 			p.score = math.Min(scoreMost, a.fade(p)+1)
 		}
@@ -529,18 +533,20 @@
 	// lagMost is how long an event may wait for the engine before strangers get fewer views: some times what it waits on a
 	// busy day, and little beside a due time.
 	lagMost = 3 * ms
-	// The views allowed to strangers fall by a fifth, or grow by a twentieth, each paceEach: down in a tenth of a second,
-	// back in one; never under leastViews, so that it shows when the engine has caught up.
-	paceEach, paceDown, paceUp, leastViews = 20 * ms, 0.8, 1.05, 8
+	// The views allowed to strangers fall by a fifth, or grow by a hundredth, each paceEach: down in a fifth of a second, back in
+	// some, so that what a flood does is not tried again at once; never under leastViews, so that it shows when the engine has caught up.
+	paceEach, paceDown, paceUp, leastViews = 20 * ms, 0.8, 1.01, 8
 )
 
-// pace has the views allowed to strangers follow how long events wait for the engine.
+// pace has the views allowed to strangers follow how long events wait for the engine, and whether a known peer's view was
+// turned back: what strangers ask for may fill links and the origin before it fills the core.
 func (a *Admission) pace(lag time.Duration) {
 	if a.set.AllViews <= 0 || a.now-a.pacedAt < paceEach {
 		return
 	}
 	a.pacedAt = a.now
-	if lag > lagMost {
+	if lag > lagMost || a.pressed {
+		a.pressed = false
 		a.allow = math.Max(leastViews, a.allow*paceDown)
 	} else {
 		a.allow = math.Min(float64(a.set.AllViews), a.allow*paceUp)
--- a/rules/admission/iface.go
+++ b/rules/admission/iface.go
@@ -56,7 +56,7 @@
 	EventShown                      // Conn Peer: the handshake is over; Peer is the certificate's, or none; Took
 	EventAsked                      // Conn: a whole message came
 	EventView                       // Conn Took: it wants to open a view; how long events wait for the engine
-	EventViewEnd                    // Conn InTime: one of its views has its answer
+	EventViewEnd                    // Conn InTime Back: one of its views has its answer
 	EventBusy                       // Conn: something is open or to be written
 	EventRests                      // Conn: nothing is any more
 	EventGone                       // Conn
@@ -71,7 +71,8 @@
 	Conn   ConnID
 	Peer   Peer
 	TLS    bool
-	InTime bool
+	InTime bool // it was served by its due time
+	Back   bool // it was turned back by the decisions on views
 	Took   time.Duration
 }
 
