--- a/internal/lab/admission.go
+++ b/internal/lab/admission.go
@@ -255,7 +255,7 @@
 
 // gate is the operator's file of the experiments: crews are known by their address.
 func gate(tlsPart map[string]any) map[string]any {
-	f := map[string]any{"admission": map[string]any{"known": []string{"127.0.1.0/24"}, "reserve": 100, "per_address": 32, "new_per_s": 200, "burst": 64, "views_per_address": 64, "views": 256}}
+	f := map[string]any{"admission": map[string]any{"known": []string{"127.0.1.0/24"}, "reserve": 100, "per_address": 32, "new_per_s": 200, "burst": 64, "views_per_address": 32, "views": 64}}
 	if tlsPart != nil {
 		f["tls"] = tlsPart
 	}
--- a/rules/admission/admission.go
+++ b/rules/admission/admission.go
@@ -16,6 +16,7 @@
 	busy     bool
 	hands    bool // its handshake is not over
 	views    int
+	known    int           // of them, opened while its peer was known
 	till     time.Duration // something may lie unread on it until then
 	row      int           // views refused in a row
 	since    time.Duration // when it came, asked or came to rest
@@ -41,6 +42,7 @@
 	count  int     // connections
 	kept   int     // of them in the reserve
 	views  int
+	known  int // of them, of known peers
 	hands  int
 	cpu    float64 // seconds of handshakes that may be spent now
 	cpuAt  time.Duration
@@ -468,7 +470,8 @@
 		}
 	case EventView:
 		a.pace(e.Took)
-		if !a.mayOpen(p) {
+		who := a.standing(p)
+		if !a.mayOpen(p, who) {
 			a.Counts.ViewsRefused++
 			wait := a.back(c.id + ConnID(a.Counts.ViewsRefused))
 			a.do(Action{Kind: Refuse, Conn: c.id, Wait: wait})
@@ -487,12 +490,20 @@
 		c.views++
 		p.views++
 		a.views++
+		if who > stranger {
+			c.known++
+			a.known++
+		}
 		a.do(Action{Kind: Take, Conn: c.id})
 	case EventViewEnd:
 		if c.views > 0 {
 			c.views--
 			p.views--
 			a.views--
+			if c.known > 0 {
+				c.known--
+				a.known--
+			}
 		}
 		if e.Back && a.standing(p) > stranger {
 			a.pressed = true
@@ -506,27 +517,22 @@
 	}
 }
 
-// mayOpen: a peer has its own bound on open views, and its share where all together have too many.
-func (a *Admission) mayOpen(p *peer) bool {
-	if a.mode == modeShedding && a.standing(p) == stranger {
-		return false // what is owed comes first
-	}
-	if a.set.Views > 0 && p.views >= a.set.Views {
+// mayOpen: a peer has its own bound on open views. The known have all that may be open to themselves; strangers have no more
+// than is allowed to them, and each its share once half of that is taken.
+func (a *Admission) mayOpen(p *peer, who standing) bool {
+	switch {
+	case a.set.Views > 0 && p.views >= a.set.Views:
 		return false
-	}
-	if a.set.AllViews <= 0 {
-		return true
-	}
-	all := float64(a.set.AllViews)
-	if a.standing(p) == stranger {
-		all = a.allow
-	}
-	if float64(a.views) < all {
+	case who == stranger && a.mode == modeShedding:
+		return false // what is owed comes first
+	case a.set.AllViews <= 0:
 		return true
+	case who > stranger:
+		return a.known < a.set.AllViews
 	}
-	with := len(a.byPeer) - a.idle
-	share := all / float64(max(1, with)) * parts[a.mode][a.standing(p)]
-	return float64(p.views) < max(1, share)
+	strangers, with := float64(a.views-a.known), len(a.byPeer)-a.idle
+	share := a.allow / float64(max(1, with)) * parts[a.mode][who]
+	return strangers < a.allow && (strangers < a.allow/2 || float64(p.views) < max(1, share))
 }
 
 const (
@@ -586,6 +592,7 @@
 	p := &a.peers[c.peer]
 	p.views -= c.views
 	a.views -= c.views
+	a.known -= c.known
 	if c.reserved {
 		a.kept--
 		p.reserved--
--- a/rules/admission/admission_test.go
+++ b/rules/admission/admission_test.go
@@ -191,7 +191,7 @@
 		}
 	}
 	a := w.a
-	if a.count != 0 || a.kept != 0 || a.views != 0 || a.hands != 0 || len(a.byConn) != 0 || len(a.byPeer) != a.idle {
+	if a.count != 0 || a.kept != 0 || a.views != 0 || a.known != 0 || a.hands != 0 || len(a.byConn) != 0 || len(a.byPeer) != a.idle {
 		w.fail("left: %d connections, %d kept, %d views, %d handshakes", a.count, a.kept, a.views, a.hands)
 	}
 	w.now += time.Minute
@@ -369,10 +369,12 @@
 	for who := range 6 {
 		fmt.Print(ask(come(10+who), 10), " ")
 	}
-	fmt.Println("of six others, where 60 are enough for all")
+	fmt.Println("of six others, where strangers may have 60")
+	fmt.Println(ask(come(crew), 20), "views of the crew")
 	// Output:
 	// 10 6 0 0 views of one address
-	// 10 10 10 10 10 9 of six others, where 60 are enough for all
+	// 10 10 10 10 4 0 of six others, where strangers may have 60
+	// 16 views of the crew
 }
 
 func BenchmarkArrive(b *testing.B) {
