--- a/internal/lab/admission.go
+++ b/internal/lab/admission.go
@@ -67,6 +67,16 @@
 		f.failed.Add(1)
 		return
 	}
+	if f.keys != nil && !f.half {
+		t := tls.Client(c, f.keys)
+		_ = t.SetDeadline(time.Now().Add(time.Second))
+		if err := t.Handshake(); err != nil {
+			f.turned.Add(1)
+			_ = c.Close()
+			return
+		}
+		c = t
+	}
 	if f.half {
 		_, _ = c.Write([]byte{22, 3, 1, 2}) // the head of a record that never comes
 	}
@@ -402,41 +412,137 @@
 // tight is the bound on descriptors that routers are started with, 0: the system's.
 var tight atomic.Int64
 
-var _ = register(Experiment{"admission-handshakes", "half handshakes by the thousand; good and bad clients behind one address, told apart by certificate", func(o Options, r *Result) error {
-	program, err := Program()
+var _ = register(Experiment{"admission-handshakes", "half handshakes by the thousand; and keys read again meanwhile", func(o Options, r *Result) error {
+	k, err := newKeys("crew")
 	if err != nil {
 		return err
 	}
-	folder, err := os.MkdirTemp("", "fennelab-keys")
+	defer k.close()
+	keys, part := k.client("crew"), k.part()
+	half := func(a string) *flood { return &flood{address: a, from: addresses(200), half: true} }
+	calm, hard, _, err := besieged(r, "half", o, gate(part), keys, half, o.many(4000), 1500, func(s *Scene) {
+		time.Sleep(300 * time.Millisecond)
+		s.Routers[0].Signal(syscall.SIGHUP) // keys are read again meanwhile
+	})
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	if out, err := exec.Command(program, "keys", folder, "--clients", "crew").CombinedOutput(); err != nil {
-		return fmt.Errorf("%w: %s", err, out)
+	holds(r, "half", calm, hard)
+	return nil
+}})
+
+// keyring is a development authority and pairs, as the program itself makes them.
+type keyring struct {
+	folder string
+	pool   *x509.CertPool
+	pairs  map[string]tls.Certificate
+}
+
+func newKeys(names ...string) (*keyring, error) {
+	program, err := Program()
+	if err != nil {
+		return nil, err
+	}
+	k := &keyring{pool: x509.NewCertPool(), pairs: map[string]tls.Certificate{}}
+	if k.folder, err = os.MkdirTemp("", "fennelab-keys"); err != nil {
+		return nil, err
+	}
+	args := []string{"keys", k.folder}
+	for _, n := range names {
+		args = append(args, "--clients", n)
 	}
-	pem, err := os.ReadFile(filepath.Join(folder, "ca.crt"))
+	if out, err := exec.Command(program, args...).CombinedOutput(); err != nil {
+		return nil, fmt.Errorf("%w: %s", err, out)
+	}
+	pem, err := os.ReadFile(filepath.Join(k.folder, "ca.crt"))
 	if err != nil {
-		return err
+		return nil, err
+	}
+	k.pool.AppendCertsFromPEM(pem)
+	for _, n := range names {
+		if k.pairs[n], err = tls.LoadX509KeyPair(filepath.Join(k.folder, n+".crt"), filepath.Join(k.folder, n+".key")); err != nil {
+			return nil, err
+		}
 	}
-	pool := x509.NewCertPool()
-	pool.AppendCertsFromPEM(pem)
-	pair, err := tls.LoadX509KeyPair(filepath.Join(folder, "crew.crt"), filepath.Join(folder, "crew.key"))
+	return k, nil
+}
+
+func (k *keyring) close() { _ = os.RemoveAll(k.folder) }
+
+func (k *keyring) client(name string) *tls.Config {
+	return &tls.Config{RootCAs: k.pool, ServerName: "localhost", Certificates: []tls.Certificate{k.pairs[name]}}
+}
+
+// part is the operator's part for a router with these keys.
+func (k *keyring) part() map[string]any {
+	return map[string]any{"cert_file": filepath.Join(k.folder, "server.crt"), "key_file": filepath.Join(k.folder, "server.key"),
+		"client_ca_file": filepath.Join(k.folder, "ca.crt"), "client": "optional"}
+}
+
+var _ = register(Experiment{"admission-shared", "behind one address, one bad and fifty good clients are told apart by certificate", func(o Options, r *Result) error {
+	names := []string{"bad"}
+	for i := range 50 {
+		names = append(names, fmt.Sprintf("good-%d", i))
+	}
+	k, err := newKeys(names...)
 	if err != nil {
 		return err
 	}
-	keys := &tls.Config{RootCAs: pool, ServerName: "localhost", Certificates: []tls.Certificate{pair}}
-	part := map[string]any{"cert_file": filepath.Join(folder, "server.crt"), "key_file": filepath.Join(folder, "server.key"),
-		"client_ca_file": filepath.Join(folder, "ca.crt"), "client": "optional"}
-	half := func(a string) *flood { return &flood{address: a, from: addresses(200), half: true} }
-	calm, hard, _, err := besieged(r, "half", o, gate(part), keys, half, o.many(4000), 1500, func(s *Scene) {
-		time.Sleep(300 * time.Millisecond)
-		s.Routers[0].Signal(syscall.SIGHUP) // keys are read again meanwhile
-	})
+	defer k.close()
+	set := site(1, false)
+	set.SizeKB, set.Objects, set.Extra = 30, 30, gate(k.part())
+	bounds := set.Extra["admission"].(map[string]any) // of an address that many share
+	bounds["per_address"], bounds["new_per_s"], bounds["burst"], bounds["handshake_cores"] = 64, 500, 250, 0.6
+	set.Keys = &tls.Config{RootCAs: k.pool, ServerName: "localhost"}
+	s, err := NewScene(o.Seed, set)
 	if err != nil {
 		return err
 	}
-	holds(r, "half", calm, hard)
+	if err := s.Start(1); err != nil {
+		s.End()
+		return err
+	}
+	const shared = "127.0.3.3"
+	good := func(until time.Duration) (sum crewSeen) {
+		var wait sync.WaitGroup
+		var mu sync.Mutex
+		end := time.Now().Add(until)
+		for i := range 50 {
+			c := &crew{address: s.Routers[0].Address, from: shared, keys: k.client(fmt.Sprintf("good-%d", i))}
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+				c.run(500*time.Millisecond, end)
+				n := c.seen()
+				mu.Lock()
+				defer mu.Unlock()
+				sum.views, sum.connected, sum.inTime, sum.lost = sum.views+n.views, sum.connected+n.connected, sum.inTime+n.inTime, sum.lost+n.lost
+				if n.why != "" {
+					sum.why = n.why
+				}
+			}()
+		}
+		wait.Wait()
+		return sum
+	}
+	go s.Play(Load{Rate: 30, For: o.long(6 * time.Second)})
+	calm := good(o.long(2500 * time.Millisecond))
+	f := &flood{address: s.Routers[0].Address, from: []string{shared}, keys: k.client("bad"), loop: true}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.run(o.many(600), 200, 16)
+	}()
+	hard := good(o.long(3 * time.Second))
+	<-done
+	f.end()
+	seen := s.End()
+	r.rules("shared", seen)
+	r.figure("shared flood taken", float64(f.taken.Load()))
+	r.figure("shared flood tried", float64(f.tried.Load()))
+	r.figure("shared s until normal", 0)
+	holds(r, "shared", calm, hard)
 	return nil
 }})
 
--- a/internal/lab/judge_test.go
+++ b/internal/lab/judge_test.go
@@ -68,6 +68,7 @@
 	// admission-handshakes
 	// admission-many
 	// admission-restart
+	// admission-shared
 	// store-cold
 	// store-cost
 	// store-drain
