--- a/internal/lab/scene.go
+++ b/internal/lab/scene.go
@@ -36,6 +36,7 @@
 	Groups   int
 	Skew     float64 // of popularity, over 1
 	SizeKB   float64 // the middle of sizes
+	Fixed    int     // bytes of each object, 0: by its size
 	Origin   depot.Times
 	Parents  depot.Times
 }
@@ -120,7 +121,12 @@
 }
 
 // bytes is an object's size on the socket: a fifteenth of what it stands for, as on the bench's platform.
-func (s *Scene) bytes(id uint64) int { return max(80, int(s.kb(id)*1024/15)) }
+func (s *Scene) bytes(id uint64) int {
+	if s.Fixed > 0 {
+		return s.Fixed
+	}
+	return max(80, int(s.kb(id)*1024/15))
+}
 
 func (s *Scene) kb(id uint64) float64 { return s.sizes[int(id)%len(s.sizes)] }
 
--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -71,8 +71,11 @@
 			most = s.Store.Counts().Peak
 			s.Store.Stop(false)
 			time.Sleep(200 * time.Millisecond)
-			if err := s.Store.Again(false); err != nil {
-				s.errs = append(s.errs, err)
+			s.try(s.Store.Again(false))
+			if set.Listed {
+				line := s.storeLine("ready")
+				line.Boot = time.Now()
+				s.Site.Board.List(false, line)
 			}
 		})
 		if err != nil {
@@ -91,10 +94,17 @@
 		}
 		r.claim(most <= 1, name+": never asked for more than it bears", "at most %.2f of what it bore, in any second since a start", most)
 	}
+	told := site(4, true)
+	told.Listed = true
+	most, err := play("4 routers, told by the list", 4, told)
+	if err != nil {
+		return err
+	}
+	r.claim(most <= 1, "told by the list: never asked for more than it bears", "at most %.2f", most)
 	n := counts[len(counts)-1]
 	set := site(n, true)
 	set.Shared["cold_ms"] = 0 // nothing is known of how it starts: the decisions have nothing to go by
-	most, err := play(fmt.Sprintf("%d routers, no budget", n), n, set)
+	most, err = play(fmt.Sprintf("%d routers, no budget", n), n, set)
 	r.claim(most > 1, "without a budget the same script pushes it over", "%.2f of what it bore", most)
 	return err
 }})
@@ -330,9 +340,14 @@
 		{"foreign", redis.Fault{Spoil: redis.Foreign}, "not a value of ours"},
 		{"newer", redis.Fault{Spoil: redis.Newer}, "newer form"},
 		{"silent", redis.Fault{Silent: true}, "store not connected"},
+		{"crowded", redis.Fault{Crowd: true}, "store not connected"},
+		{"240,000 bytes", redis.Fault{}, "store connected"}, // nothing is wrong but the size
 	} {
 		set := warm(site(n, true))
 		set.Objects = 60
+		if f.name == "240,000 bytes" {
+			set.Fixed = 240_000
+		}
 		before, after := 0, 0
 		logged := false
 		seen, err := arm(r, f.name, o.Seed, set, n, l, func(s *Scene) {
--- a/internal/standin/redis/faults.go
+++ b/internal/standin/redis/faults.go
@@ -20,6 +20,7 @@
 	Word   string        // an error that is answered instead
 	Cut    bool          // the connection is reset in the middle of each value
 	Length bool          // a value is announced with more bytes than it has
+	Crowd  bool          // it has as many clients as it takes: new ones are told so, and those there are gone
 	Spoil  Spoil         // what is done to values on their way out
 }
 
@@ -84,7 +85,11 @@
 func (s *Store) Set(f Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fault = f
+	if s.fault = f; f.Crowd {
+		for c := range s.conns {
+			_ = c.Close()
+		}
+	}
 }
 
 // Stop ends the process: connections are reset, and nothing listens. Keep says whether a snapshot holds its data.
--- a/internal/standin/redis/redis.go
+++ b/internal/standin/redis/redis.go
@@ -105,7 +105,7 @@
 func (s *Store) accept(c redcon.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.conf.Clients > 0 && len(s.conns) >= s.conf.Clients {
+	if s.fault.Crowd || s.conf.Clients > 0 && len(s.conns) >= s.conf.Clients {
 		c.WriteError("ERR max number of clients reached")
 		return false
 	}
