--- a/cmd/fennelarch/serve_test.go
+++ b/cmd/fennelarch/serve_test.go
@@ -8,8 +8,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,6 +19,8 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"fennelarch/internal/standin/depot"
 )
 
 // TestMain is the program itself when the tests start it.
@@ -165,54 +165,21 @@
 func missing(q query) (string, bool) { return q.says("404", "how=not_there", ""), false }
 func busy(q query) (string, bool)    { return q.says("503", "how=turned_away", ""), false }
 
-// board is a stand-in of the bulletin.
-type board struct {
-	*httptest.Server
-	mu    sync.Mutex
-	items []string
-	polls int
-	fails bool
-}
+// board is the stand-in of the bulletin.
+type board struct{ *depot.Board }
 
 func newBoard(t *testing.T) *board {
-	b := &board{}
-	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		after, _ := strconv.Atoi(r.FormValue("after"))
-		ms, _ := strconv.Atoi(r.FormValue("patience"))
-		for end := time.Now().Add(time.Duration(ms) * time.Millisecond); ; time.Sleep(2 * time.Millisecond) {
-			b.mu.Lock()
-			items, fails := b.items, b.fails
-			b.mu.Unlock()
-			if fails {
-				panic(http.ErrAbortHandler)
-			}
-			if len(items) > after || time.Now().After(end) || r.Context().Err() != nil {
-				b.mu.Lock()
-				b.polls++
-				b.mu.Unlock()
-				fmt.Fprintf(w, `{"no":%d,"items":[%s]}`, len(items), strings.Join(items[min(after, len(items)):], ","))
-				return
-			}
-		}
-	}))
+	b := &board{depot.NewBoard()}
 	t.Cleanup(b.Close)
 	return b
 }
 
-// tell adds an event; the text lacks its number.
-func (b *board) tell(text string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.items = append(b.items, fmt.Sprintf(`{"no":%d,%s}`, len(b.items)+1, text))
-}
-
 func (b *board) list(all bool, state string, nodes ...*node) {
-	var targets []string
+	var lines []depot.Line
 	for _, n := range nodes {
-		targets = append(targets, fmt.Sprintf(`{"uid":%q,"endpoint":%q,"az":"west","model":%q,"state":%q,"capacity_hint":4,"boot_ms":0}`,
-			n.uid, n.address, n.kind, state))
+		lines = append(lines, depot.Line{UID: n.uid, Address: n.address, Zone: "west", Kind: depot.Kind(n.kind), State: state, Weight: 4})
 	}
-	b.tell(fmt.Sprintf(`"roster":{"rev":1,"all":%v,"targets":[%s]}`, all, strings.Join(targets, ",")))
+	b.List(all, lines...)
 }
 
 // fleet is a router among its stand-ins: a parent, the origin and the caches given.
@@ -286,8 +253,8 @@
 // configure writes the configuration with the bulletin at a board, cut off where it is to be.
 func (f *fleet) configure(b *board, cut string) {
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
-	  "bulletin":%q,"flow_bytes_per_s":310000,"link_bytes_per_s":620000,"known":{"no":1,"items":[%s]},"settings":%s}`, f.listen,
-		b.Listener.Addr(), f.board.items[0], settingsText)
+	  "bulletin":%q,"flow_bytes_per_s":310000,"link_bytes_per_s":620000,"known":%s,"settings":%s}`, f.listen,
+		b.Address, f.board.First(), settingsText)
 	if cut != "" {
 		text, _, _ = strings.Cut(text, cut)
 	}
@@ -441,7 +408,7 @@
 	f.origin.set(busy)
 	c.expect(c.view("clip", 1, 2000, ""), "OK  bytes")
 	c.expect(c.view("clip", 2, 2000, ""), "BUSY")
-	f.board.tell(fmt.Sprintf(`"recall":{"item":"0000000000000001","issued":%d}`, time.Now().UnixMilli()))
+	f.board.Tell(fmt.Sprintf(`"recall":{"item":"0000000000000001","issued":%d}`, time.Now().UnixMilli()))
 	await(t, "the purge", func() bool { return c.answer(c.view("clip", 1, 2000, ""))[0] == "BUSY" })
 }
 
@@ -550,7 +517,7 @@
 	f := newFleet(t, a)
 	c := f.client().read()
 	c.expect(c.view("clip", 1, 2000, ""), "OK")
-	f.board.tell(fmt.Sprintf(`"recall":{"item":"0000000000000001","issued":%d}`, time.Now().UnixMilli()))
+	f.board.Tell(fmt.Sprintf(`"recall":{"item":"0000000000000001","issued":%d}`, time.Now().UnixMilli()))
 	await(t, "an age limit", func() bool {
 		c.expect(c.view("clip", 1, 2000, ""), "OK")
 		list := a.got("fetch")
@@ -587,14 +554,10 @@
 	a, b := newNode(t, "s-1", "std", hit), newNode(t, "s-2", "std", hit)
 	f := newFleet(t, a)
 	c := f.client().read()
-	f.board.mu.Lock()
-	f.board.fails = true
-	f.board.mu.Unlock()
+	f.board.Mute(true)
 	f.board.list(false, "ready", b)
 	c.expect(c.view("clip", 1, 2000, ""), "OK")
-	f.board.mu.Lock()
-	f.board.fails = false
-	f.board.mu.Unlock()
+	f.board.Mute(false)
 	object := 0
 	await(t, "a leg to the new cache", func() bool {
 		object++
@@ -610,7 +573,7 @@
 	f := newFleet(t, a)
 	c := f.client().read()
 	other := newBoard(t)
-	other.items = append(other.items, f.board.items[0])
+	other.Follow(f.board.Board)
 	f.configure(other, `"settings"`)
 	_ = f.router.Process.Signal(syscall.SIGHUP)
 	f.configure(other, "")
--- a/internal/standin/depot/board.go
+++ b/internal/standin/depot/board.go
@@ -23,7 +23,8 @@
 	server *http.Server
 }
 
-func newBoard() *Board {
+// NewBoard starts a bulletin that has told nothing.
+func NewBoard() *Board {
 	b := &Board{change: make(chan struct{})}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -78,6 +79,23 @@
 	return fmt.Sprintf(`{"no":%d,"items":[%s]}`, len(items), strings.Join(items[min(after, len(items)):], ","))
 }
 
+// Follow has it begin with the first event of another, as one that takes its place does.
+func (b *Board) Follow(other *Board) {
+	other.mu.Lock()
+	first := other.items[0]
+	other.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.items = append(b.items, first)
+}
+
+// First is the first event alone, as a configuration holds it.
+func (b *Board) First() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return page(b.items[:1], 0)
+}
+
 // Known is all events so far, as a configuration holds them.
 func (b *Board) Known() string {
 	b.mu.Lock()
@@ -85,7 +103,8 @@
 	return page(b.items, 0)
 }
 
-func (b *Board) tell(text string) {
+// Tell adds an event; the text lacks its number.
+func (b *Board) Tell(text string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.items = append(b.items, fmt.Sprintf(`{"no":%d,%s}`, len(b.items)+1, text))
@@ -113,15 +132,15 @@
 		targets = append(targets, fmt.Sprintf(`{"uid":%q,"endpoint":%q,"az":%q,"model":%q,"state":%q,"capacity_hint":%g,"boot_ms":%d}`,
 			l.UID, l.Address, l.Zone, l.Kind, l.State, l.Weight, boot))
 	}
-	b.tell(fmt.Sprintf(`"roster":{"rev":1,"all":%v,"targets":[%s]}`, all, strings.Join(targets, ",")))
+	b.Tell(fmt.Sprintf(`"roster":{"rev":1,"all":%v,"targets":[%s]}`, all, strings.Join(targets, ",")))
 }
 
 func (b *Board) purge(object uint64, group int, at time.Time) {
 	if object != 0 {
-		b.tell(fmt.Sprintf(`"recall":{"item":"%016x","issued":%d}`, object, at.UnixMilli()))
+		b.Tell(fmt.Sprintf(`"recall":{"item":"%016x","issued":%d}`, object, at.UnixMilli()))
 		return
 	}
-	b.tell(fmt.Sprintf(`"recall":{"lot":%d,"issued":%d}`, group, at.UnixMilli()))
+	b.Tell(fmt.Sprintf(`"recall":{"lot":%d,"issued":%d}`, group, at.UnixMilli()))
 }
 
 // Line is a node's own line.
--- a/internal/standin/depot/depot.go
+++ b/internal/standin/depot/depot.go
@@ -114,7 +114,7 @@
 
 // NewSite returns a site without nodes, with a bulletin.
 func NewSite(size func(Object) int, group func(uint64) int) *Site {
-	return &Site{Board: newBoard(), Size: size, Group: group, nodes: map[string]*Node{}, purges: map[string]time.Time{}, runs: map[string]int{}}
+	return &Site{Board: NewBoard(), Size: size, Group: group, nodes: map[string]*Node{}, purges: map[string]time.Time{}, runs: map[string]int{}}
 }
 
 // Add starts a node; the list hears of it by Tell.
