--- a/rules/admission/admission.go
+++ b/rules/admission/admission.go
@@ -20,14 +20,10 @@
 	till     time.Duration // something may lie unread on it until then
 	row      int           // views refused in a row
 	since    time.Duration // when it came, asked or came to rest
-	older    int32         // among those that rest
-	younger  int32
-	young    bool // on the list of those that have not asked
+	links                  // among those that rest
+	young    bool          // on the list of those that have not asked
 }
 
-// list is connections that rest, the longest first.
-type list struct{ oldest, youngest int32 }
-
 // Admission holds all decisions on connections of one router. It is not safe for use by several goroutines.
 type Admission struct {
 	set  Settings
@@ -38,20 +34,19 @@
 	conns  []conn
 	free   []int32
 	byConn map[ConnID]int32
-	rest   [2]list // those that have asked, those that have not
-	count  int     // connections
-	kept   int     // of them in the reserve
+	rest   [2]chain // those that have asked, those that have not
+	count  int      // connections
+	kept   int      // of them in the reserve
 	views  int
 	known  int // of them, of known peers
 	hands  int
 	cpu    float64 // seconds of handshakes that may be spent now
 	cpuAt  time.Duration
 
-	peers            []peer
-	freePeers        []int32
-	byPeer           map[Peer]int32
-	oldest, youngest int32
-	idle             int
+	peers     []peer
+	freePeers []int32
+	byPeer    map[Peer]int32
+	idle      chain // peers without a connection
 
 	shedTill time.Duration
 	allow    float64 // open views of all, past which a stranger has its share only
@@ -66,10 +61,10 @@
 func New(set Settings) *Admission {
 	set.Remember = max(1, set.Remember)
 	set.Reserve = min(set.Reserve, set.Most/2) // somebody must be able to become known
-	a := &Admission{set: set, byConn: map[ConnID]int32{}, byPeer: map[Peer]int32{}, oldest: none, youngest: none,
+	a := &Admission{set: set, byConn: map[ConnID]int32{}, byPeer: map[Peer]int32{}, idle: newChain(),
 		allow: float64(set.AllViews)}
 	for i := range a.rest {
-		a.rest[i] = list{none, none}
+		a.rest[i] = newChain()
 	}
 	return a
 }
@@ -309,7 +304,7 @@
 		a.conns = append(a.conns, conn{})
 		i = int32(len(a.conns) - 1)
 	}
-	a.conns[i] = conn{id: e.Conn, peer: p, reserved: kept, hands: e.TLS, since: a.now, older: none, younger: none, young: true}
+	a.conns[i] = conn{id: e.Conn, peer: p, reserved: kept, hands: e.TLS, since: a.now, young: true}
 	a.byConn[e.Conn] = i
 	a.count++
 	if kept {
@@ -324,34 +319,12 @@
 	a.do(Action{Kind: Take, Conn: e.Conn})
 }
 
-// lie puts a connection at the young end of those that rest.
-func (a *Admission) lie(i int32) {
-	c := &a.conns[i]
-	l := &a.rest[which(c.young)]
-	c.older, c.younger = l.youngest, none
-	if l.youngest != none {
-		a.conns[l.youngest].younger = i
-	} else {
-		l.oldest = i
-	}
-	l.youngest = i
-}
+func (a *Admission) connLinks(i int32) *links { return &a.conns[i].links }
 
-func (a *Admission) rise(i int32) {
-	c := &a.conns[i]
-	l := &a.rest[which(c.young)]
-	if c.older != none {
-		a.conns[c.older].younger = c.younger
-	} else {
-		l.oldest = c.younger
-	}
-	if c.younger != none {
-		a.conns[c.younger].older = c.older
-	} else {
-		l.youngest = c.older
-	}
-	c.older, c.younger = none, none
-}
+// lie puts a connection at the young end of those that rest, rise takes it out.
+func (a *Admission) lie(i int32) { a.rest[which(a.conns[i].young)].put(i, a.connLinks) }
+
+func (a *Admission) rise(i int32) { a.rest[which(a.conns[i].young)].drop(i, a.connLinks) }
 
 func which(young bool) int {
 	if young {
@@ -360,6 +333,14 @@
 	return 0
 }
 
+// mayEnd says whether a connection that rests may be ended for a newcomer of a standing.
+func (a *Admission) mayEnd(c *conn, who standing) bool {
+	if c.reserved || who < listed && a.now < c.till {
+		return false
+	}
+	return who > stranger || a.standing(&a.peers[c.peer]) == stranger
+}
+
 // makeRoom ends the connection that rested longest, and says whether there was one. One that has not asked for anything yet
 // goes before those that have, unless it has only just come. None of the reserve is ended, and none of a known peer for a
 // stranger. What may lie unread on one ends with it only where descriptors have run out: it was not picked up, and what was
@@ -368,7 +349,7 @@
 	found, longest := none, time.Duration(math.MaxInt64)
 	for k := range a.rest {
 		i := a.rest[k].oldest
-		for i != none && (a.conns[i].reserved || who < listed && a.now < a.conns[i].till || who == stranger && a.standing(&a.peers[a.conns[i].peer]) > stranger) {
+		for i != none && !a.mayEnd(&a.conns[i], who) {
 			i = a.conns[i].younger
 		}
 		if i == none {
@@ -530,7 +511,7 @@
 	case who > stranger:
 		return a.known < a.set.AllViews
 	}
-	strangers, with := float64(a.views-a.known), len(a.byPeer)-a.idle
+	strangers, with := float64(a.views-a.known), len(a.byPeer)-a.idle.n
 	share := a.allow / float64(max(1, with)) * parts[a.mode][who]
 	return strangers < a.allow && (strangers < a.allow/2 || float64(p.views) < max(1, share))
 }
--- a/rules/admission/admission_test.go
+++ b/rules/admission/admission_test.go
@@ -107,7 +107,7 @@
 	if kept != a.kept || views != a.views {
 		w.fail("%d kept, %d counted; %d views, %d counted", kept, a.kept, views, a.views)
 	}
-	if a.idle > a.set.Remember || len(a.byPeer) > a.set.Remember+a.set.Most+1 {
+	if a.idle.n > a.set.Remember || len(a.byPeer) > a.set.Remember+a.set.Most+1 {
 		w.fail("%d peers are remembered", len(a.byPeer))
 	}
 }
@@ -191,7 +191,7 @@
 		}
 	}
 	a := w.a
-	if a.count != 0 || a.kept != 0 || a.views != 0 || a.known != 0 || a.hands != 0 || len(a.byConn) != 0 || len(a.byPeer) != a.idle {
+	if a.count != 0 || a.kept != 0 || a.views != 0 || a.known != 0 || a.hands != 0 || len(a.byConn) != 0 || len(a.byPeer) != a.idle.n {
 		w.fail("left: %d connections, %d kept, %d views, %d handshakes", a.count, a.kept, a.views, a.hands)
 	}
 	w.now += time.Minute
--- a/rules/admission/peers.go
+++ b/rules/admission/peers.go
@@ -5,8 +5,6 @@
 	"time"
 )
 
-const none int32 = -1
-
 // peer is what is known of one, while it has connections and for some time after.
 type peer struct {
 	id       Peer
@@ -18,8 +16,7 @@
 	scored   time.Duration
 	level    float64 // new connections that it may open now
 	filled   time.Duration
-	older    int32 // among those without a connection
-	younger  int32
+	links    // among those without a connection
 }
 
 const (
@@ -48,61 +45,34 @@
 		a.peers = append(a.peers, peer{})
 		i = int32(len(a.peers) - 1)
 	}
-	a.peers[i] = peer{id: id, level: float64(a.set.Burst), filled: a.now, scored: a.now, older: none, younger: none,
+	a.peers[i] = peer{id: id, level: float64(a.set.Burst), filled: a.now, scored: a.now,
 		listed: a.set.Listed != nil && a.set.Listed(id)}
 	a.byPeer[id] = i
-	a.link(i)
+	a.idle.put(i, a.peerLinks)
 	return i
 }
 
-// link puts a peer without connections at the young end, unlink takes it out when it has one again.
-func (a *Admission) link(i int32) {
-	p := &a.peers[i]
-	p.older, p.younger = a.youngest, none
-	if a.youngest != none {
-		a.peers[a.youngest].younger = i
-	} else {
-		a.oldest = i
-	}
-	a.youngest = i
-	a.idle++
-}
-
-func (a *Admission) unlink(i int32) {
-	p := &a.peers[i]
-	if p.older != none {
-		a.peers[p.older].younger = p.younger
-	} else {
-		a.oldest = p.younger
-	}
-	if p.younger != none {
-		a.peers[p.younger].older = p.older
-	} else {
-		a.youngest = p.older
-	}
-	p.older, p.younger = none, none
-	a.idle--
-}
+func (a *Admission) peerLinks(i int32) *links { return &a.peers[i].links }
 
 // join counts a connection to a peer.
 func (a *Admission) join(i int32) {
 	if a.peers[i].conns++; a.peers[i].conns == 1 {
-		a.unlink(i)
+		a.idle.drop(i, a.peerLinks)
 	}
 }
 
 func (a *Admission) part(i int32) {
 	if a.peers[i].conns--; a.peers[i].conns == 0 {
-		a.link(i)
+		a.idle.put(i, a.peerLinks)
 		a.forget(a.set.Remember)
 	}
 }
 
 // forget drops whoever was here longest ago, until so many are left of those without a connection.
 func (a *Admission) forget(left int) {
-	for a.idle > left && a.oldest != none {
-		i := a.oldest
-		a.unlink(i)
+	for a.idle.n > max(0, left) {
+		i := a.idle.oldest
+		a.idle.drop(i, a.peerLinks)
 		delete(a.byPeer, a.peers[i].id)
 		a.freePeers = append(a.freePeers, i)
 	}
--- a/rules/store/store.go
+++ b/rules/store/store.go
@@ -132,6 +132,11 @@
 		if e.State == rules.Gone {
 			delete(k.fills, e.Node)
 		}
+		for id, l := range k.states { // nodes come and go for months
+			if l.state == rules.Gone && k.now-l.since > goneFor {
+				delete(k.states, id)
+			}
+		}
 	default:
 		if n, known := k.index[e.Node]; known && (e.Kind == EventGot || e.Kind == EventLeased || e.Kind == EventSet) {
 			k.answered(&k.nodes[n], e)
@@ -144,6 +149,9 @@
 	return acts
 }
 
+// goneFor is how long a node that is gone is remembered: longer than any leg lasts that may have named it.
+const goneFor = time.Minute
+
 func (k *Keeper) do(a Action) { k.acts = append(k.acts, a) }
 
 // Open is how many legs and sets are not over.
