Clients and bulletin: ends lose nothing, held input is watched, lists are followed through bad ones

Seen in review, each with a test that fails without the change: - A client connection was closed over unread bytes (server.go, redcon's close after Read), at its rest, after rubbish and at the exit, which resets it and takes along what the system still holds. It is shut for writing now, read on within a bound, then closed. - After SIGTERM the program ended in any state of its resting connections. Past its time to linger each goes as nothing is owed on it, half a request may become whole and is refused, and nothing that comes later is sent on (Server.End). - While a client's answers waited unread, or the admission paused it, nobody noticed that it left or took something back: its input is kept in the ring, looked through for UNDO, and its end is seen. Commands left in the ring were still taken after the connection's write had failed (session.got). - bulletin.go: a dial had no bound, and MaxConnsPerHost had later polls wait for it: with the system's own tries 1, 3 and 7 s apart the list was followed seconds after the bulletin was back. A whole event slower than 0.5 s was never taken; a page without end told nothing; an event of a wrong type hid all after it. - settings.go: an unknown group of a keyed class was taken for all nodes, the widest; nobody is taken to drop its repeats now. A class named twice and one without a deadline are errors; each error names line and column, or the field. - At SIGHUP a change of anything but the bulletin's address was passed over in silence; a log line says so.

--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -108,7 +108,7 @@
 	for running := true; running; {
 		select {
 		case <-again:
-			reload(follower, log)
+			reload(follower, c, log)
 			own = reloadOwn(path, own, c, stores, server, doors, log)
 		case <-stop: // a second order changes nothing
 			running = false
@@ -117,21 +117,27 @@
 	log.Info("stopping", zap.Int("open", eng.Open()))
 	begun := time.Now()
 	eng.Post(begun, engine.Stop{After: lim.Stop})
-	for time.Since(begun) < lim.Linger || (eng.Open() > 0 || !server.Quiet()) && time.Since(begun) < lim.Stop+lim.Flush {
+	time.Sleep(lim.Linger)
+	server.End()
+	for (eng.Open() > 0 || server.Left() > 0) && time.Since(begun) < lim.Stop+lim.Flush {
 		time.Sleep(lim.Pause)
 	}
 	log.Info("stopped", zap.Int("open", eng.Open()))
 	return nil
 }
 
-// reload takes over from the configuration what may change while the router runs: the bulletin's address.
-func reload(follower *bulletin.Follower, log *zap.Logger) {
+// reload takes over from the configuration what may change while the router runs: the bulletin's address. Nothing else of it
+// acts before the next start, and the log says so where something else has changed.
+func reload(follower *bulletin.Follower, old *settings.Config, log *zap.Logger) {
 	c, err := settings.Load(os.Getenv)
 	if err != nil {
 		log.Warn("configuration stays as it was", zap.Error(err))
 		return
 	}
 	log.Info("configuration read again")
+	if c.Fixed != old.Fixed {
+		log.Warn("configuration: only the bulletin's address is taken before the next start")
+	}
 	follower.Move(c.Bulletin)
 }
 
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -37,6 +38,8 @@
 	No     int64   `json:"no"`
 	Roster *roster `json:"roster"`
 	Recall *recall `json:"recall"`
+
+	bad error // it has a number, but can't be read
 }
 
 type roster struct {
@@ -127,7 +130,8 @@
 		}
 		what, err := f.read(&it)
 		f.last = it.No
-		if err != nil {
+		if err != nil { // it will be no better when it is told again
+			f.lost()
 			return fmt.Errorf("event %d: %w", it.No, err)
 		}
 		if what != nil {
@@ -145,6 +149,8 @@
 
 func (f *Follower) read(it *Item) (any, error) {
 	switch {
+	case it.bad != nil:
+		return nil, it.bad
 	case it.Roster != nil:
 		l := engine.List{All: it.Roster.All}
 		for _, t := range it.Roster.Targets {
@@ -179,7 +185,10 @@
 
 // Run polls until the context ends.
 func (f *Follower) Run(ctx context.Context, post func(at time.Time, what any)) {
-	client := &http.Client{Transport: &http.Transport{IdleConnTimeout: f.limits.Silent, MaxConnsPerHost: 1}}
+	// A dial ends soon: the system's own tries come further and further apart, and would outlast an outage by seconds.
+	dialer := &net.Dialer{Timeout: f.limits.Dial}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: f.limits.Silent,
+		DisableCompression: true}}
 	pass := func(what any) { post(time.Now(), what) }
 	wait, silent, before := f.limits.Again, false, ""
 	for ctx.Err() == nil {
@@ -234,7 +243,7 @@
 		return fmt.Errorf("status %s", res.Status)
 	}
 	watch.Reset(f.limits.Halt)
-	p, cut := readPage(io.LimitReader(res.Body, f.limits.Events), func() { watch.Reset(f.limits.Halt) })
+	p, cut := readPage(&steady{io.LimitReader(res.Body, f.limits.Events), watch, f.limits.Halt, time.Now().Add(f.limits.Page)})
 	if cut == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<10))
 	}
@@ -247,9 +256,23 @@
 	return nil
 }
 
+// steady reads what keeps coming: the watch goes off where it stands still for too long, or goes on for too long.
+type steady struct {
+	io.Reader
+	watch *time.Timer
+	still time.Duration
+	until time.Time
+}
+
+func (s *steady) Read(b []byte) (int, error) {
+	n, err := s.Reader.Read(b)
+	s.watch.Reset(max(0, min(s.still, time.Until(s.until))))
+	return n, err
+}
+
 // readPage reads a page event by event; of one that breaks off, it returns the whole events before the break, and no
-// number. goesOn is called after each.
-func readPage(r io.Reader, goesOn func()) (p Page, cut error) {
+// number.
+func readPage(r io.Reader) (p Page, cut error) {
 	d := json.NewDecoder(r)
 	no := int64(0)
 	if t, err := d.Token(); err != nil || t != json.Delim('{') {
@@ -262,7 +285,7 @@
 		case name == "no":
 			err = d.Decode(&no)
 		case name == "items":
-			err = readItems(d, &p.Items, goesOn)
+			err = readItems(d, &p.Items)
 		default:
 			err = d.Decode(new(json.RawMessage))
 		}
@@ -277,17 +300,27 @@
 	return p, nil
 }
 
-func readItems(d *json.Decoder, items *[]Item, goesOn func()) error {
+func readItems(d *json.Decoder, items *[]Item) error {
 	if t, err := d.Token(); err != nil || t != json.Delim('[') {
 		return cmp.Or(err, errPage)
 	}
 	for d.More() {
-		var it Item
-		if err := d.Decode(&it); err != nil {
+		var text json.RawMessage
+		if err := d.Decode(&text); err != nil {
 			return err
 		}
+		var it Item
+		if err := json.Unmarshal(text, &it); err != nil {
+			// Its number alone says that it was told: one event that can't be used must not hide those after it.
+			var bare struct {
+				No int64 `json:"no"`
+			}
+			if json.Unmarshal(text, &bare) != nil || bare.No <= 0 {
+				return err
+			}
+			it = Item{No: bare.No, bad: err}
+		}
 		*items = append(*items, it)
-		goesOn()
 	}
 	_, err := d.Token()
 	return err
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/bulletin/bulletin_test.go
@@ -4,10 +4,13 @@
 	"cmp"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -35,7 +38,7 @@
 
 // told takes a page and prints what is passed on.
 func told(f *Follower, text string) {
-	p, cut := readPage(strings.NewReader(text), func() {})
+	p, cut := readPage(strings.NewReader(text))
 	err := f.Take(&p, func(what any) { fmt.Printf("%+v; ", what) })
 	fmt.Println(cmp.Or(err, cut), f.last)
 }
@@ -57,6 +60,9 @@
 	told(f, `{"items":[]}`)                      // not the numbers of a new bulletin
 	told(f, `[1`)
 	told(f, page(1, purge(1))) // the bulletin began anew
+	told(f, page(4, `{"no":2,"roster":{"targets":"all of them"}}`, purge(3), purge(4)))
+	told(f, page(4, purge(3), purge(4))) // what can't be read hides nothing after it
+	told(f, page(6, `{"no":"five"}`, purge(6)))
 	// Output:
 	// {Nodes:[{Member:{Node:9330572330461544228 State:2 Kind:0 Zone:1 Cell:2 Weight:4 Started:0s} UID:s-1 Address:10.1.0.9:9090 Boot:0001-01-01 00:00:00 +0000 UTC}] All:true}; {Object:9167811660783867477 Group:5 Issued:2025-12-01 08:00:00.123 +0000 UTC}; <nil> 2
 	// {Object:0 Group:3 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 3
@@ -70,6 +76,9 @@
 	// <nil> 12
 	// not a page of events 12
 	// {Object:0 Group:1 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 1
+	// event 2: json: cannot unmarshal string into Go struct field roster.roster.targets of type []bulletin.target 2
+	// {Object:0 Group:3 Issued:2025-12-01 08:00:00.48 +0000 UTC}; {Object:0 Group:4 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 4
+	// json: cannot unmarshal string into Go struct field Item.no of type int64 4
 }
 
 // Every kind of failed poll is tried again, at whichever address, and each event comes once and in order.
@@ -132,3 +141,127 @@
 		}
 	}
 }
+
+// follow runs a follower of what a handler tells, and returns the groups of the purges that it passes on.
+func follow(t *testing.T, f *Follower, address string) chan int {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	t.Cleanup(func() { cancel(); <-done })
+	events := make(chan int, 1000)
+	f.Move(address)
+	go func() {
+		defer close(done)
+		f.Run(ctx, func(_ time.Time, what any) { events <- int(what.(engine.Purge).Group) })
+	}()
+	return events
+}
+
+func served(t *testing.T, does http.HandlerFunc) string {
+	end := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		go func() {
+			select {
+			case <-end:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		does(w, r.WithContext(ctx))
+	}))
+	t.Cleanup(func() { close(end); s.Close() })
+	return s.Listener.Addr().String()
+}
+
+func expect(t *testing.T, events chan int, want int) {
+	t.Helper()
+	select {
+	case n := <-events:
+		if n != want {
+			t.Fatalf("event %d came, not %d", n, want)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatalf("event %d did not come", want)
+	}
+}
+
+// in writes a text in parts, and stops where nobody reads it any more.
+func in(w http.ResponseWriter, r *http.Request, text string, each int, pause time.Duration) bool {
+	for len(text) > 0 && r.Context().Err() == nil {
+		n := min(each, len(text))
+		fmt.Fprint(w, text[:n])
+		_ = http.NewResponseController(w).Flush()
+		text = text[n:]
+		time.Sleep(pause)
+	}
+	return r.Context().Err() == nil
+}
+
+// One event that takes longer than a standstill may, but keeps coming, is waited for: it would take as long the next time.
+func TestEventInPieces(t *testing.T) {
+	f := testFollower()
+	long := strings.Replace(page(1, purge(1)), `"recall"`, `"odd":"`+strings.Repeat("x", 600)+`","recall"`, 1)
+	events := follow(t, f, served(t, func(w http.ResponseWriter, r *http.Request) { in(w, r, long, 20, 20*time.Millisecond) }))
+	expect(t, events, 1)
+}
+
+// A page that never ends is cut, and what it told is taken; the next one goes on from there.
+func TestEndlessPage(t *testing.T) {
+	f := testFollower()
+	f.limits.Page = 300 * time.Millisecond
+	events := follow(t, f, served(t, func(w http.ResponseWriter, r *http.Request) {
+		var after int
+		fmt.Sscan(r.FormValue("after"), &after)
+		in(w, r, `{"no":1000000,"items":[`, 100, 0)
+		for no := after + 1; in(w, r, purge(no)+",", 100, 10*time.Millisecond); no++ {
+		}
+	}))
+	for want := 1; want <= 60; want++ {
+		expect(t, events, want)
+	}
+}
+
+// While the bulletin is out of reach, nothing answers a dial. The dials do not wait for the system's own tries, which come
+// further and further apart: the bulletin is followed soon after it is back.
+func TestFollowedSoonAfterSilence(t *testing.T) {
+	f := testFollower()
+	f.limits.Late = 500 * time.Millisecond
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "deaf")
+	defer file.Close()
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var queue []net.Conn
+	for { // until nobody gets in any more
+		c, err := net.DialTimeout("tcp", ln.Addr().String(), 200*time.Millisecond)
+		if err != nil {
+			break
+		}
+		queue = append(queue, c)
+	}
+	events := follow(t, f, ln.Addr().String())
+	time.Sleep(3500 * time.Millisecond) // the system's own tries come after 1, 3 and 7 s
+	back := time.Now()
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, page(1, purge(1))) })}
+	go func() { _ = s.Serve(ln) }()
+	defer s.Close()
+	for _, c := range queue {
+		_ = c.Close()
+	}
+	expect(t, events, 1)
+	if took := time.Since(back); took > 2500*time.Millisecond {
+		t.Errorf("followed %v after it was back", took)
+	}
+}
--- /dev/null
+++ b/internal/front/crossing_test.go
@@ -0,0 +1,338 @@
+package front
+
+// Crossings on client connections: what ends, and what comes or is owed in the same moment. Clients are sockets driven by hand.
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fennelarch/internal/engine"
+	"fennelarch/internal/limits"
+	"fennelarch/internal/settings"
+	"fennelarch/rules"
+)
+
+// house is a server whose views come by a channel.
+type house struct {
+	*Server
+	t    *testing.T
+	ln   net.Listener
+	asks chan *engine.Ask
+	gone chan rules.ViewID
+}
+
+func newHouse(t *testing.T, change func(*limits.Limits)) *house {
+	l := limits.From(limits.Told{MemoryMB: 192, Sockets: 256, Streams: 100, LongestHard: 5 * time.Second})
+	l.Stuck = time.Hour // a client that reads nothing is not what ends it here
+	if change != nil {
+		change(&l)
+	}
+	h := &house{t: t, asks: make(chan *engine.Ask, 1000), gone: make(chan rules.ViewID, 1000)}
+	h.Server = New(l, settings.Names{Tariffs: []string{"clip"}}, []rules.Tariff{{}}, Doors{}, func(_ time.Time, what any) {
+		switch what := what.(type) {
+		case *engine.Ask:
+			h.asks <- what
+		case engine.Gone:
+			h.gone <- what.View
+		}
+	}, zap.NewNop())
+	var err error
+	if h.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = h.Serve(h.ln)
+	}()
+	t.Cleanup(func() {
+		_ = h.ln.Close()
+		<-served
+		within(t, "every connection is closed, and nothing of it is left", func() bool {
+			h.shared.mu.Lock()
+			defer h.shared.mu.Unlock()
+			return h.Left() == 0 && h.Count() == 0 && h.busy.Load() == 0 && h.shared.held.Load() == 0 && len(h.shared.open) == 0
+		})
+	})
+	return h
+}
+
+func within(t *testing.T, what string, so func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !so(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("in vain: %s", what)
+		}
+	}
+}
+
+func (h *house) dial() *net.TCPConn {
+	h.t.Helper()
+	c, err := net.Dial("tcp", h.ln.Addr().String())
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c.(*net.TCPConn)
+}
+
+func (h *house) write(c net.Conn, text string) {
+	h.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+// rest reads to the end of a connection, which must be one that loses nothing.
+func (h *house) rest(c net.Conn) string {
+	h.t.Helper()
+	b, err := io.ReadAll(c)
+	if err != nil {
+		h.t.Errorf("after %.60q: %v", b, err)
+	}
+	return string(b)
+}
+
+func got[T any](t *testing.T, c chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(10 * time.Second):
+		t.Fatal("in vain")
+	}
+	return v
+}
+
+func view(tag int) string {
+	return frame("DO", fmt.Sprint(tag), "clip", fmt.Sprintf("req=%016x,timeout=1500,subject=7f3a9c21e0b4d655", tag))
+}
+
+// A client sends rubbish behind a view, and goes on sending. What was open has its answer, which arrives: the end does not
+// reset the connection over what was not read.
+func TestRubbishKeepsAnswers(t *testing.T) {
+	h := newHouse(t, nil)
+	for range 20 {
+		c := h.dial()
+		h.write(c, view(1)+"GET / HTTP/1.1\r\n"+strings.Repeat("x", 20_000))
+		got(t, h.asks)
+		got(t, h.gone)
+		h.write(c, strings.Repeat("y", 20_000))
+		if text := h.rest(c); text != frame("1", "FAILED", "", "") {
+			t.Fatalf("%q", text)
+		}
+	}
+}
+
+// A request comes at the moment in which its connection is ended for having rested: it is not taken any more, and what was
+// answered before arrives.
+func TestRequestCrossesEnd(t *testing.T) {
+	h := newHouse(t, func(l *limits.Limits) { l.Rest = 30 * time.Millisecond })
+	for range 10 {
+		c := h.dial()
+		h.write(c, frame("PING", "1"))
+		if text := h.rest(c); text != frame("1", "UP", "", "") { // the router has shut its side
+			t.Fatalf("%q", text)
+		}
+		h.write(c, view(2))
+		within(t, "the connection is closed", func() bool { return h.Left() == 0 })
+		if len(h.asks) > 0 {
+			t.Fatal("a request that was read after the end was taken")
+		}
+	}
+}
+
+// stuffed is a connection whose input is held, as its client reads none of its answers; the view with the tag is open on it.
+func (h *house) stuffed(tag int) *net.TCPConn {
+	h.t.Helper()
+	c := h.dial()
+	_ = c.SetReadBuffer(4 << 10)
+	big := bytes.Repeat([]byte("x"), 240_000)
+	for n := 1; n <= 60; n++ {
+		h.write(c, view(n))
+		a := got(h.t, h.asks)
+		a.Client.Answer(a.Tag, engine.Answer{Verdict: engine.Succeeded, Body: big})
+	}
+	h.write(c, view(tag))
+	got(h.t, h.asks)
+	for n := range 100 {
+		h.write(c, frame("PING", fmt.Sprint(5000+n)))
+	}
+	within(h.t, "the input is held", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, c := range h.conns {
+			c.mu.Lock()
+			stalled := c.stalled
+			c.mu.Unlock()
+			if stalled {
+				return true
+			}
+		}
+		return false
+	})
+	return c
+}
+
+// The input of a client that does not read is held; that it leaves, or gives something up, is noticed all the same, and
+// nothing that it sent before is taken after that.
+func TestHeldClientLeaves(t *testing.T) {
+	for name, leaves := range map[string]func(c *net.TCPConn){
+		"takes back": func(c *net.TCPConn) { _, _ = io.WriteString(c, frame("UNDO", "99")) },
+		"shuts":      func(c *net.TCPConn) { _ = c.CloseWrite() },
+		"closes":     func(c *net.TCPConn) { _ = c.Close() },
+		"resets":     func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() },
+		"more than the ring holds, and shuts": func(c *net.TCPConn) {
+			_ = c.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+			_, _ = io.WriteString(c, strings.Repeat(frame("PING", "7"), 4_000))
+			_ = c.CloseWrite()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHouse(t, nil)
+			c := h.stuffed(99)
+			h.write(c, view(100)) // held: not taken yet
+			leaves(c)
+			left := time.Now()
+			got(t, h.gone)
+			if took := time.Since(left); took > 2*time.Second { // some hundredths where nothing else runs
+				t.Errorf("noticed after %v", took)
+			}
+			_ = c.Close()
+			within(t, "the end of it", func() bool { return h.Left() == 0 })
+			if len(h.asks) > 0 {
+				t.Error("a request was taken of a client that had gone")
+			}
+		})
+	}
+}
+
+// The order to end: who rests goes at once and loses nothing, an open view has its answer first, one that comes then is
+// refused, also where half of it had come, or its connection only just.
+func TestEnd(t *testing.T) {
+	h := newHouse(t, nil)
+	resting, open, half := h.dial(), h.dial(), h.dial()
+	for _, c := range []net.Conn{resting, half} {
+		h.write(c, frame("PING", "1"))
+		if _, err := io.ReadFull(c, make([]byte, len(frame("1", "UP", "", "")))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	h.write(half, view(2)[:40])
+	h.write(open, view(3))
+	a := got(t, h.asks)
+	within(t, "half a request has come", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, c := range h.conns {
+			c.mu.Lock()
+			n := c.session.in.Len()
+			c.mu.Unlock()
+			if n == 40 {
+				return true
+			}
+		}
+		return false
+	})
+	h.End()
+	h.End()
+	if text := h.rest(resting); text != "" {
+		t.Errorf("%q", text)
+	}
+	h.write(resting, view(9)) // crosses the end
+	h.write(open, view(4))
+	h.write(half, view(2)[40:])
+	late := h.dial()
+	h.write(late, view(5))
+	for _, c := range []net.Conn{half, late} {
+		if text := h.rest(c); !strings.Contains(text, "BUSY") {
+			t.Errorf("%q", text)
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	a.Client.Answer(a.Tag, engine.Answer{Verdict: engine.Succeeded, Body: []byte("bytes")})
+	if text := h.rest(open); text != frame("4", "BUSY", "", "")+frame("3", "OK", "", "bytes") {
+		t.Errorf("%q", text)
+	}
+	for _, c := range []net.Conn{resting, open, half, late} {
+		_ = c.Close()
+	}
+	within(t, "nobody is left", func() bool { return h.Left() == 0 })
+	if len(h.asks) > 0 {
+		t.Error("a request was taken after the order to end")
+	}
+}
+
+// An answer and its client's leaving, in each order, leave nothing behind; nor do a view taken back twice, or an answer after
+// either.
+func TestLeavingInEachOrder(t *testing.T) {
+	for order := range 4 {
+		h := newHouse(t, nil)
+		c := h.dial()
+		h.write(c, view(1))
+		a := got(t, h.asks)
+		answer := func() { a.Client.Answer(a.Tag, engine.Answer{Verdict: engine.Succeeded, Body: []byte("bytes")}) }
+		switch order {
+		case 0:
+			answer()
+			_ = c.Close()
+		case 1:
+			_ = c.Close()
+			got(t, h.gone)
+			answer()
+		case 2:
+			h.write(c, frame("UNDO", "1")+frame("UNDO", "1")+frame("PING", "2"))
+			got(t, h.gone)
+			answer()
+			want := frame("2", "UP", "", "")
+			b := make([]byte, len(want))
+			if _, err := io.ReadFull(c, b); err != nil || string(b) != want {
+				t.Errorf("%q, %v", b, err)
+			}
+		case 3:
+			var both sync.WaitGroup
+			both.Go(answer)
+			both.Go(func() { _ = c.SetLinger(0); _ = c.Close() })
+			both.Wait()
+		}
+		_ = c.Close()
+		within(t, "the end of it", func() bool { return h.Left() == 0 })
+		if len(h.gone) > 1 {
+			t.Errorf("order %d: %d times gone", order, len(h.gone))
+		}
+	}
+}
+
+// What the kernel of a client says of a reset is no end that it could take for a whole answer; this guards the helper above.
+func TestRestTellsResets(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err == nil {
+			_, _ = c.Read(make([]byte, 1))
+			_ = c.Close() // over unread bytes
+		}
+	}()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "ab")
+	if _, err := io.ReadAll(c); err == nil || errors.Is(err, io.EOF) {
+		t.Error("a reset looks like an end")
+	}
+}
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -55,7 +55,12 @@
 		case admission.End:
 			if c := s.conns[x.Conn]; c != nil {
 				delete(s.conns, x.Conn)
-				_ = c.raw.Close()
+				c.ended.Store(true)
+				go func() {
+					c.mu.Lock()
+					defer c.mu.Unlock()
+					c.wake()
+				}()
 			}
 		case admission.Log:
 			s.log.Info(x.Text)
@@ -114,6 +119,8 @@
 	s.mu.Unlock()
 	a, _ := s.tell(admission.Event{Kind: admission.EventArrive, Conn: c.id, Peer: admission.Address(ip.Addr().As16()), TLS: s.keys != nil})
 	if a.Kind == admission.Take {
+		c.owner = true
+		s.live.Add(1)
 		return c
 	}
 	s.mu.Lock()
@@ -212,11 +219,17 @@
 			return
 		}
 	}
+	drain(up, l)
+}
+
+// drain says that nothing more will be written, and takes what the other side still sends, within bounds of bytes and time.
+func drain(up net.Conn, l *limits.Limits) {
 	if half, can := up.(interface{ CloseWrite() error }); can {
 		_ = half.CloseWrite()
 	}
+	_ = up.SetReadDeadline(time.Now().Add(l.Polite))
 	rest := make([]byte, 1<<10)
-	for range l.ClientIn / len(rest) { // what it still sends is taken, up to a bound
+	for range l.ClientIn / len(rest) {
 		if _, err := up.Read(rest); err != nil {
 			return
 		}
@@ -273,6 +286,9 @@
 func (c *conn) admits(e admission.Event) (time.Duration, bool) {
 	e.Conn = c.id
 	if e.Kind == admission.EventView {
+		if c.server.ending.Load() {
+			return 0, false
+		}
 		e.Took = c.server.lag()
 	}
 	a, said := c.server.tell(e)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -7,14 +7,18 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"fennelarch/internal/engine"
 	"fennelarch/internal/limits"
@@ -38,6 +42,11 @@
 	turned  atomic.Int64 // connections that are being turned back
 
 	busy atomic.Int64 // connections on which something is open or to be written
+	live atomic.Int64 // connections that were taken and are not closed yet
+
+	parting atomic.Int64 // connections without a place that are being ended so that what was written arrives
+
+	ending atomic.Bool // whoever rests is to go, and nothing new is taken
 
 	mu    sync.Mutex
 	doors *admission.Admission
@@ -94,6 +103,22 @@
 // Quiet says whether no connection has anything open or to be written.
 func (s *Server) Quiet() bool { return s.busy.Load() == 0 }
 
+// End has every connection go as soon as nothing is owed on it; what is still asked is refused at once.
+func (s *Server) End() {
+	s.ending.Store(true)
+	s.mu.Lock()
+	conns := slices.Collect(maps.Values(s.conns))
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.mu.Lock()
+		c.wake()
+		c.mu.Unlock()
+	}
+}
+
+// Left is how many connections are not closed yet.
+func (s *Server) Left() int { return int(s.live.Load() + s.turned.Load()) }
+
 // Count is how many connections there are.
 func (s *Server) Count() int {
 	s.mu.Lock()
@@ -120,12 +145,18 @@
 	raw    net.Conn // what it runs over
 	server *Server
 	id     admission.ConnID
-	paused atomic.Int64 // for how long nothing is to be read of it
+	paused atomic.Int64 // for how long nothing is to be taken of it
+	ended  atomic.Bool  // it is to make room for others
+	owner  bool         // redcon was handed it
 
 	mu      sync.Mutex
 	change  *sync.Cond // of the session
 	session *session
 	busy    bool
+	opens   time.Time // nothing is taken of it before
+	stalled bool      // nor until its client has read
+	came    time.Time // when the first of what was not taken yet came
+	looked  time.Time // when it was last looked through
 }
 
 // unlock lets go of the session after a change of it.
@@ -140,11 +171,24 @@
 			c.server.busy.Add(-1)
 		}
 		c.server.tell(admission.Event{Kind: kind, Conn: c.id})
+		if !busy && c.leaving() {
+			c.wake()
+		}
+	}
+	if c.stalled && !c.session.full() {
+		c.stalled = false
+		c.wake()
 	}
 	c.change.Broadcast()
 	c.mu.Unlock()
 }
 
+// wake has the reader look up from what it waits for. The session must be held, as the reader does when it begins to wait.
+func (c *conn) wake() { _ = c.Conn.SetReadDeadline(time.Unix(1, 0)) }
+
+// leaving says whether the connection is to go as soon as nothing is owed on it.
+func (c *conn) leaving() bool { return c.ended.Load() || c.server.ending.Load() }
+
 // Answer takes the final answer of a view.
 func (c *conn) Answer(tag engine.Tag, a engine.Answer) {
 	c.mu.Lock()
@@ -155,61 +199,144 @@
 // Read is called by redcon's goroutine of the connection. It does all the reading and returns when the connection is
 // over, so that redcon ends it.
 func (c *conn) Read([]byte) (int, error) {
-	if c.shake() {
+	more, left := c.shake(), true
+	if more {
 		go c.write()
-		for c.read() {
-		}
+	}
+	for more {
+		more, left = c.read()
 	}
 	c.mu.Lock()
 	c.session.over()
 	events := c.session.take()
 	c.unlock()
 	c.tell(time.Now(), events)
+	if !left {
+		c.part()
+	}
 	c.server.tell(admission.Event{Kind: admission.EventGone, Conn: c.id})
 	return 0, io.EOF
 }
 
-// read takes what comes next, and says whether more may come.
-func (c *conn) read() bool {
+// Close ends the connection for good.
+func (c *conn) Close() error {
+	if c.owner {
+		c.owner = false
+		c.server.live.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// read takes what comes next. It says whether more may come, and if not, whether it was the client who left. While nothing
+// may be taken, what comes is kept in the ring, so that whoever leaves or takes something back is heard all the same.
+func (c *conn) read() (more, left bool) {
+	l := &c.server.shared.limits
+	now := time.Now()
 	c.mu.Lock()
-	space, until := c.session.space(), c.session.until(time.Now())
-	c.mu.Unlock()
+	if wait := c.paused.Swap(0); wait > 0 {
+		c.opens = now.Add(time.Duration(wait))
+	}
+	var bad error
+	if held := now.Before(c.opens) || c.session.full(); !held {
+		at := c.came
+		if c.came = (time.Time{}); at.IsZero() {
+			at = now
+		}
+		bad = c.session.parse(at)
+	} else if now.Sub(c.looked) >= l.Watch {
+		c.looked = now
+		c.session.ahead()
+	}
+	c.stalled = c.session.full()
+	held := c.stalled || now.Before(c.opens)
+	ending := c.server.ending.Load()
+	still := (ending || c.ended.Load()) && c.session.still(now, ending)
+	closed, events := c.session.closed, c.session.take()
+	space, until := c.session.space(), c.session.until(now)
+	switch {
+	case held:
+		until = now.Add(l.Watch)
+	case ending && !c.session.asked && c.session.in.Len() == 0:
+		until = c.session.begun.Add(l.Polite)
+	}
 	_ = c.Conn.SetReadDeadline(until)
+	c.unlock()
+	c.tell(now, events)
+	switch {
+	case bad != nil: // what is open has its answer yet
+		c.await(func() bool { return c.session.idle() })
+		return false, false
+	case closed:
+		return false, true
+	case still && !held:
+		return false, false
+	case len(space) == 0:
+		time.Sleep(l.Pause)
+		left = hungUp(c.raw)
+		return !left, left
+	}
 	n, err := c.Conn.Read(space)
-	now := time.Now()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.mu.Lock()
-		rests, events := c.session.rest(), c.session.take()
-		c.unlock()
-		c.tell(now, events)
-		if rests {
-			c.await(func() bool { return c.session.idle() })
+	now = time.Now()
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return held || now.Before(until) || !c.rests(now), false
+	case err != nil:
+		return false, true
+	}
+	c.mu.Lock()
+	if c.came.IsZero() {
+		c.came = now
+	}
+	c.session.put(n, now)
+	c.mu.Unlock()
+	return true, false
+}
+
+// rests is called when nothing came for long, and says whether the connection is to end for it.
+func (c *conn) rests(now time.Time) bool {
+	c.mu.Lock()
+	rests, events := c.session.rest(), c.session.take()
+	c.unlock()
+	c.tell(now, events)
+	if rests {
+		c.await(func() bool { return c.session.idle() })
+	}
+	return rests
+}
+
+// part ends the connection so that what was written arrives: an end over unread bytes would reset it, and take along what the
+// system still holds. What comes now crosses the end: it is read, and passed over.
+func (c *conn) part() {
+	s := c.server
+	if c.ended.Load() { // another has its place already, and may need its descriptor
+		defer s.parting.Add(-1)
+		if s.parting.Add(1) > int64(s.shared.limits.Turned) && !s.ending.Load() {
+			return
 		}
-		return !rests
 	}
-	if err != nil {
+	if c.Conn != c.raw {
+		if half, can := c.Conn.(interface{ CloseWrite() error }); can { // TLS has an end of its own
+			_ = half.CloseWrite()
+		}
+	}
+	drain(c.raw, &s.shared.limits)
+}
+
+// hungUp says whether the other side has closed, though there are bytes of it to be read before its end.
+func hungUp(up net.Conn) bool {
+	raw, can := up.(syscall.Conn)
+	if !can {
 		return false
 	}
-	for {
-		c.mu.Lock()
-		bad := c.session.got(n, now)
-		events := c.session.take()
-		full := c.session.full()
-		c.unlock()
-		c.tell(now, events)
-		switch {
-		case bad != nil: // what is open has its answer yet
-			c.await(func() bool { return c.session.idle() })
-			return false
-		case !full:
-			if wait := c.paused.Swap(0); wait > 0 {
-				time.Sleep(time.Duration(wait))
-			}
-			return true
-		}
-		c.await(func() bool { return c.session.closed || !c.session.full() })
-		n = 0
+	c, err := raw.SyscallConn()
+	if err != nil {
+		return true
 	}
+	n := 0
+	err = c.Control(func(fd uintptr) {
+		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, 0)
+	})
+	return err != nil || n > 0
 }
 
 func (c *conn) tell(at time.Time, events []any) {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -108,11 +108,21 @@
 func (s *session) space() []byte { return s.in.Tail() }
 
 func (s *session) got(n int, now time.Time) error {
+	s.put(n, now)
+	return s.parse(now)
+}
+
+// put takes bytes that came, unread as yet.
+func (s *session) put(n int, now time.Time) {
 	if s.asked && s.in.Len() == 0 {
 		s.begun = now
 	}
 	s.in.Commit(n)
-	for !s.full() {
+}
+
+// parse takes the whole messages that have come. Of a connection that is over, none: its client has gone.
+func (s *session) parse(now time.Time) error {
+	for !s.closed && !s.full() {
 		args, err := s.dec.Next(&s.in)
 		if err == nil && args != nil {
 			if s.begun = now; !s.asked {
@@ -131,6 +141,30 @@
 	return nil
 }
 
+// still says whether nothing is open, nothing is to be written and nothing has begun to come; one that has just come and has
+// not asked yet is about to.
+func (s *session) still(now time.Time, polite bool) bool {
+	return s.idle() && s.in.Len() == 0 && (s.asked || !polite || now.Sub(s.begun) >= s.shared.limits.Polite)
+}
+
+// ahead gives up what the client takes back in messages that wait to be taken: it has gone, though its input is held.
+func (s *session) ahead() {
+	in, dec := s.in.Copy(), s.dec.Fresh()
+	for {
+		args, err := dec.Next(&in)
+		if args == nil || err != nil {
+			return
+		}
+		if len(args) < 2 || string(args[0]) != "UNDO" {
+			continue
+		}
+		number, err := strconv.ParseUint(string(args[1]), 10, 64)
+		if _, open := s.open[engine.Tag(number)]; open && err == nil {
+			s.leave(engine.Tag(number))
+		}
+	}
+}
+
 // until is when the connection has rested for too long, or what comes first, or has begun to come, should be whole.
 func (s *session) until(now time.Time) time.Time {
 	if !s.asked || s.in.Len() > 0 {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -60,7 +60,8 @@
 	Rest        time.Duration // until a client connection is closed on which nothing comes and nothing is open
 	Whole       time.Duration // until one is on which no message was whole yet, or one that has begun is not
 	Fresh       time.Duration // how much longer than one that has asked it counts as resting
-	Polite      time.Duration // for each half of turning a connection back
+	Polite      time.Duration // for each half of turning a connection back, and for what crosses an end
+	Watch       time.Duration // how often it is looked for clients that leave while their input is held: some times within 0.1 s
 	Stuck       time.Duration // until a peer that reads nothing is cut off
 	StoreSilent time.Duration // until a store of which nothing is heard is cut off
 	Begin       time.Duration // until a leg is on its way, or never goes: the rules count a send from its first byte
@@ -69,6 +70,8 @@
 	Poll        time.Duration // how long the bulletin may hold a poll
 	Silent      time.Duration // until a poll is given up
 	Halt        time.Duration // until one is whose answer has begun and does not go on
+	Page        time.Duration // until one is whose answer goes on and on: what it told is taken then
+	Dial        time.Duration // until a connection to the bulletin is up, or another is tried
 	Again       time.Duration // the first wait after a failed poll; it doubles
 	Late        time.Duration // the longest such wait
 	Pause       time.Duration // between two looks at what has to be tried or awaited
@@ -112,9 +115,9 @@
 		ClientIn: 64 << 10, ClientOut: 32 << 10, NodeIn: 256 << 10, NodeOut: 64 << 10,
 		Copies: t.MemoryMB << 20 / 4, Answers: int64(t.MemoryMB) << 20 / 6, Events: 4 << 20,
 		Open: 32, Waiting: 64, Queue: 4096, Lines: 1024,
-		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, Polite: 150 * time.Millisecond, StoreSilent: time.Second,
+		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, Polite: 150 * time.Millisecond, Watch: 20 * time.Millisecond, StoreSilent: time.Second,
 		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
-		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Halt: 500 * time.Millisecond, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
+		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Halt: 500 * time.Millisecond, Page: 4 * time.Second, Dial: time.Second, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
 		Pause: 5 * time.Millisecond,
 		// The platform kills a router no sooner than the longest hard limit, or 3 s if that is less, and 0.7 s more.
 		Linger: 700 * time.Millisecond, Stop: min(t.LongestHard, 3*time.Second) + 450*time.Millisecond,
--- a/internal/resp/frame.go
+++ b/internal/resp/frame.go
@@ -30,6 +30,9 @@
 	args  [][]byte
 }
 
+// Fresh is a decoder with the same bounds that has seen nothing.
+func (d *Decoder) Fresh() Decoder { return Decoder{Args: d.Args, Size: d.Size, Most: d.Most} }
+
 // Next returns the strings of the next whole frame, or none if more bytes are needed. They hold until the next
 // call.
 func (d *Decoder) Next(r *Ring) ([][]byte, error) {
--- a/internal/resp/ring.go
+++ b/internal/resp/ring.go
@@ -70,6 +70,16 @@
 	return n
 }
 
+// Copy is a ring of its own that holds the same bytes.
+func (r *Ring) Copy() Ring {
+	c := Ring{Bound: r.Bound}
+	if r.size > 0 {
+		c.buf, c.size = make([]byte, len(r.buf)), r.size
+		copy(c.buf[copy(c.buf, r.Head()):], r.buf[:max(0, r.head+r.size-len(r.buf))])
+	}
+	return c
+}
+
 // Head is the longest stretch of waiting bytes that lies in one piece.
 func (r *Ring) Head() []byte {
 	if r.size == 0 {
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -28,6 +28,7 @@
 	Known    json.RawMessage // the bulletin's events so far
 	Rules    rules.Settings
 	Names    Names
+	Fixed    string // all that holds until the next start, as text
 }
 
 // Load reads the environment and the file that it names.
@@ -46,18 +47,22 @@
 // Read takes the text of a configuration; a name and an address from the environment go before its own.
 func Read(text []byte, name, listen string) (*Config, error) {
 	var f struct {
-		Name, Listen, Seed, Bulletin string
-		Limits                       struct {
+		Name     string `json:"name"`
+		Listen   string `json:"listen"`
+		Seed     string `json:"seed"`
+		Bulletin string `json:"bulletin"`
+		Limits   struct {
 			Cores    float64 `json:"cores"`
 			MemoryMB int     `json:"memory_mb"`
 			Sockets  int     `json:"sockets"`
-		}
-		Flow            float64 `json:"flow_bytes_per_s"`
-		Link            float64 `json:"link_bytes_per_s"`
-		Known, Settings json.RawMessage
+		} `json:"limits"`
+		Flow     float64         `json:"flow_bytes_per_s"`
+		Link     float64         `json:"link_bytes_per_s"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
+		return nil, plain("configuration", text, err)
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Bulletin: f.Bulletin, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets, Flow: f.Flow, Link: f.Link, Known: f.Known}
@@ -67,7 +72,19 @@
 	if listen != "" {
 		c.Listen = listen
 	}
-	var err error
+	var all map[string]json.RawMessage
+	err := json.Unmarshal(text, &all)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	for _, moves := range []string{"bulletin", "known", "seed"} {
+		delete(all, moves)
+	}
+	fixed, err := json.Marshal(all)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c.Fixed = string(fixed)
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("configuration: seed %q is not hexadecimal", f.Seed)
 	}
@@ -79,8 +96,11 @@
 	if c.Cores <= 0 || c.MemoryMB < 16 || c.Sockets < 32 {
 		return nil, fmt.Errorf("configuration: limits of %g cores, %d MB, %d sockets are too small", c.Cores, c.MemoryMB, c.Sockets)
 	}
+	if len(f.Settings) == 0 {
+		return nil, errors.New("configuration: settings are missing")
+	}
 	if c.Rules, c.Names, err = Decode(f.Settings); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, err
 	}
 	if len(c.Rules.Tariffs) == 0 {
 		return nil, errors.New("settings: no classes")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,9 +3,12 @@
 package settings
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"fennelarch/rules"
@@ -112,6 +115,21 @@
 	Streams int           // legs that one connection carries at a time
 }
 
+// plain words what is wrong with a text, and where.
+func plain(what string, text []byte, err error) error {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		before := text[:max(0, min(int(syntax.Offset)-1, len(text)))]
+		line, column := 1+bytes.Count(before, []byte{'\n'}), len(before)-bytes.LastIndexByte(before, '\n')
+		return fmt.Errorf("%s: line %d, column %d: %w", what, line, column, err)
+	case errors.As(err, &kind):
+		return fmt.Errorf("%s.%s: a %s where a value of type %s belongs", what, kind.Field, kind.Value, kind.Type)
+	}
+	return fmt.Errorf("%s: %w", what, err)
+}
+
 // Span is a time in milliseconds; one that is not a number or far off is 0.
 func Span(ms float64) time.Duration {
 	if !(ms > -1e12) {
@@ -124,7 +142,7 @@
 func Decode(text []byte) (rules.Settings, Names, error) {
 	var c conf
 	if err := json.Unmarshal(text, &c); err != nil {
-		return rules.Settings{}, Names{}, err
+		return rules.Settings{}, Names{}, plain("settings", text, err)
 	}
 	names := Names{Zones: c.Zones, Kinds: c.Kinds, Columns: c.Report.Columns, Idle: Span(c.Caps.Idle), Streams: c.Caps.Streams}
 	s := rules.Settings{
@@ -149,12 +167,22 @@
 	for i, k := range c.Classes {
 		effect, known := effects[k.Effect]
 		if !known {
-			return s, names, fmt.Errorf("class %d has the unknown effect %q", i, k.Effect)
+			return s, names, fmt.Errorf("settings.classes.%d: the unknown effect %q", i, k.Effect)
+		}
+		scope, known := scopes[k.Group]
+		if effect == rules.Stamped && !known {
+			effect = rules.OneShot // who drops its repeats is not known: nobody may be taken to
+		}
+		if slices.Contains(names.Tariffs, k.Name) {
+			return s, names, fmt.Errorf("settings.classes.%d: there is a class %q before it", i, k.Name)
+		}
+		if k.Deadline <= 0 {
+			return s, names, fmt.Errorf("settings.classes.%d: a deadline of %g ms", i, k.Deadline)
 		}
 		names.Tariffs = append(names.Tariffs, k.Name)
 		s.Tariffs = append(s.Tariffs, rules.Tariff{
 			Due: Span(k.Target), DueStretch: k.Stretch, Hard: Span(k.Deadline), Payoff: k.Worth, LatePayoff: k.Late,
-			Effect: effect, Scope: scopes[k.Group], Window: Span(k.Window), Stream: k.Stream,
+			Effect: effect, Scope: scope, Window: Span(k.Window), Stream: k.Stream,
 			Write: at(c.Own.Write, i), Fresh: Span(at(c.Own.Fresh, i)), Grace: Span(at(c.Own.Older, i)),
 		})
 	}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -205,7 +205,7 @@
 		}
 		set, _, err := settings.Decode(conf)
 		if err != nil {
-			return fmt.Errorf("settings: %w", err)
+			return fmt.Errorf("%w", err)
 		}
 		r := rules.New(set, le.Uint64(rec[5:]))
 		h.routers[id] = r
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -91,7 +91,7 @@
 	// record 0: list number 16 is out of bounds
 	// record 0: list of unknown scope 9
 	// record 0: unknown outcome 99
-	// record 0: settings: unexpected end of JSON input
+	// record 0: settings: line 1, column 1: unexpected end of JSON input
 }
 
 func Example_settings() {
@@ -103,7 +103,7 @@
 	// Output:
 	// <nil> 1 1 6 1 2 1000 true
 	// 250ms 3s true
-	// class 0 has the unknown effect "odd"
+	// settings.classes.0: the unknown effect "odd"
 }
 
 // FuzzBatch: no frame may crash the host, and a reply's size must be that of its records and tail.
