--- /dev/null
+++ b/rules/fleet_test.go
@@ -0,0 +1,203 @@
+package rules
+
+// Many routers that share nothing, driven side by side in one clock, with one cold node among them: what all of them send
+// to it together, against what it bears.
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+// arrival is one request, or fill, that reached the cold node.
+type arrival struct {
+	at   time.Duration
+	work float64 // over the mean
+}
+
+// coldFleet is a day of many routers round one cold node: uneven traffic, and a burst of it at the moment when the node's
+// neighbour is lost.
+type coldFleet struct {
+	routers int
+	link    float64 // transfers that each node's link carries when it is warm
+	parent  bool    // the cold node is a parent, else a cache
+	lostAt  time.Duration
+	quiet   float64 // of the usual traffic until then
+	failing bool    // what reaches the node fails, so that views go again
+	seed    uint64
+}
+
+// play returns what reached the cold node, and the part of all views that was served.
+func (f *coldFleet) play(set Settings, start time.Duration) (got []arrival, served float64) {
+	rng := newPCG(f.seed)
+	set.Routers = f.routers
+	set.ZoneRouters = []int{0, 0, f.routers}
+	cold := cacheA
+	if f.parent {
+		cold = parentP
+	}
+	var fleet []*bench
+	var share []float64
+	total := 0.0
+	for i := range f.routers {
+		b := &bench{r: New(set, f.seed*1000+uint64(i)), now: start, legs: map[ViewID]LegNo{}, mute: true}
+		b.acts = b.r.Start(b.now, nil)
+		e := Event{Kind: EventList, List: ListCached}
+		for _, n := range []NodeID{cacheA, cacheB, cacheC, cacheD, parentP, parentQ, origin} {
+			m := member(n)
+			m.Weight = f.link
+			if n == cold {
+				m.Started = start
+			}
+			e.Members = append(e.Members, m)
+		}
+		b.do(&e)
+		fleet = append(fleet, b)
+		x := math.Exp(rng.float()*3 - 1.5) // some get twenty times what others do
+		share = append(share, x)
+		total += x
+	}
+	for i := range share {
+		share[i] /= total
+	}
+	type due struct {
+		at     time.Duration
+		router int
+		view   ViewID
+		leg    LegNo
+		node   NodeID
+		note   Note
+		fails  bool
+	}
+	var dues []due
+	holds := map[NodeID]map[ObjectID]bool{}
+	for _, n := range []NodeID{cacheA, cacheB, cacheC, cacheD} {
+		holds[n] = map[ObjectID]bool{}
+	}
+	views, good := 0.0, 0.0
+	id := ViewID(0)
+	length := set.ColdFor
+	if f.parent {
+		length = set.ParentColdFor
+	}
+	const turn = 10 * ms
+	for now := start; now < start+length; now += turn {
+		if f.lostAt > 0 && now-start >= f.lostAt && now-start < f.lostAt+turn {
+			for _, b := range fleet { // all hear of it at once
+				b.now = now
+				lost := []NodeID{cacheB, cacheC, cacheD}
+				if f.parent {
+					lost = []NodeID{parentQ}
+				}
+				for _, n := range lost {
+					b.change(n, Gone, LongAgo)
+				}
+			}
+		}
+		take := func(i int, acts []Action) {
+			for _, a := range acts {
+				if a.Kind != ActionGet {
+					continue
+				}
+				v := fleet[i].r.find(a.View)
+				work := float64(v.sending) / float64(100*ms)
+				filled := a.Source != a.Node && !holds[a.Node][v.object]
+				if a.Node == cold || a.Source == cold && filled {
+					got = append(got, arrival{now, work})
+				}
+				fails := f.failing && (a.Node == cold || a.Source == cold && filled)
+				note := NoteHit
+				if filled && !fails {
+					note, holds[a.Node][v.object] = NoteFilled, true
+				}
+				took := time.Duration(float64(v.sending) * 1.1)
+				dues = append(dues, due{now + took, i, a.View, LegNo(v.n - 1), a.Node, note, fails})
+			}
+		}
+		for i, b := range fleet {
+			b.now = now
+			if (now/(20*ms))*(20*ms) == now {
+				b.do(&Event{Kind: EventTimer, Timer: timerTick})
+				take(i, b.acts)
+			}
+			rate := share[i] * 60 * f.link * turn.Seconds()
+			if f.lostAt > now-start {
+				rate *= f.quiet
+			}
+			for n := rng.float(); n < rate; n++ {
+				id++
+				views++
+				b.do(&Event{Kind: EventView, View: id, Object: ObjectID(rng.float() * 30000 * f.link), KB: 20 + 160*rng.float(), Left: 3 * time.Second})
+				take(i, b.acts)
+			}
+		}
+		dues = slices.DeleteFunc(dues, func(d due) bool {
+			if d.at > now {
+				return false
+			}
+			b := fleet[d.router]
+			e := Event{Kind: EventLegEnd, View: d.view, Leg: d.leg, Node: d.node, Outcome: Succeeded, Note: d.note, Final: true, Took: 100 * ms}
+			if d.fails {
+				e.Outcome, e.Note, e.Final = Errored, NoteUnreached, false
+			} else if v := b.r.find(d.view); v != nil && v.open {
+				good++
+			}
+			b.do(&e)
+			take(d.router, b.acts)
+			return true
+		})
+	}
+	return got, good / views
+}
+
+// worst is the highest ratio, over all windows, of the work that reached the node to what it bears without falling: N and
+// twice its root and two more, N as the settings allow it at the window's end.
+func (f *coldFleet) worst(set Settings, start time.Duration, got []arrival) (worst float64) {
+	least, over, multiple := set.ColdShare, set.ColdFor, set.FallMultiple
+	if f.parent {
+		least, over, multiple = set.ParentColdShare, set.ParentColdFor, set.ParentFallMultiple
+	}
+	from, sum := 0, 0.0
+	for _, a := range got {
+		sum += a.work
+		for got[from].at <= a.at-set.FallFor {
+			sum -= got[from].work
+			from++
+		}
+		warm := least + (1-least)*float64(a.at-start)/float64(over)
+		n := multiple * warm * f.link / 0.1 * set.FallFor.Seconds() // requests of mean work, a tenth of a second each
+		worst = math.Max(worst, sum/(n+2*math.Sqrt(n)+2))
+	}
+	return worst
+}
+
+// Rule 4 over the fleet: however many routers there are, however uneven their traffic, and when a neighbour of the cold node
+// is lost at any moment, all of them together stay within its budget. The cost is seen in the part of views that is served.
+func TestColdNodeAndManyRouters(t *testing.T) {
+	start := time.Minute
+	for _, routers := range []int{1, 20, 300} {
+		for _, link := range []float64{1, 20} {
+			for _, parent := range []bool{false, true} {
+				for _, failing := range []bool{false, true} {
+					text, worst := "", 0.0
+					for seed, lost := range []time.Duration{0, 3 * time.Second, 9 * time.Second, 13 * time.Second} {
+						set := plain()
+						set.WeightIsLink, set.Direct = true, false
+						f := coldFleet{routers: routers, link: link, parent: parent, lostAt: lost, quiet: 0.1, failing: failing, seed: uint64(seed + 1)}
+						got, served := f.play(set, start)
+						ratio := f.worst(set, start, got)
+						worst = max(worst, ratio)
+						text += fmt.Sprintf("  lost at %2.0f s: %.2f of what it bears, %.2f served", lost.Seconds(), ratio, served)
+					}
+					what := fmt.Sprintf("%3d routers, link of %2g, parent %-5v failing %-5v", routers, link, parent, failing)
+					t.Logf("%s%s", what, text)
+					if worst > 1 {
+						t.Errorf("%s: the cold node falls, at %.2f of what it bears", what, worst)
+					}
+				}
+			}
+		}
+	}
+}
