Admission: a new client connection may ask before it makes room for the next one

A trial with log lines at each end showed connections ended 0.1 ms after they had come, not asked yet; none was refused, and no descriptor was short. At fault: admission.go, makeRoom, whose second's handicap for those that have not asked acted from their first moment on, so that in a burst each made room for the next. Without the change TestNewcomersMayAsk finds 14 of 15 ended.

--- a/rules/admission/admission.go
+++ b/rules/admission/admission.go
@@ -341,6 +341,10 @@
 	return who > stranger || a.standing(&a.peers[c.peer]) == stranger
 }
 
+// justCome is how long a connection that has not asked yet is about to: some times the way of a client's first message. Among
+// many that come at once, it would else be ended for the next one before its message is there.
+const justCome = 100 * ms
+
 // makeRoom ends the connection that rested longest, and says whether there was one. One that has not asked for anything yet
 // goes before those that have, unless it has only just come. None of the reserve is ended, and none of a known peer for a
 // stranger. What may lie unread on one ends with it only where descriptors have run out: it was not picked up, and what was
@@ -356,7 +360,7 @@
 			continue
 		}
 		since := a.conns[i].since
-		if k == 1 {
+		if k == 1 && a.now-since >= justCome {
 			since -= a.set.Fresh
 		}
 		if since < longest {
--- a/rules/admission/admission_test.go
+++ b/rules/admission/admission_test.go
@@ -390,3 +390,43 @@
 		acts = a.Handle(now, &Event{Kind: EventArrive, Conn: c, Peer: ip(int(c) % 100_000)}, acts[:0])
 	}
 }
+
+// A burst fills all places with connections that asked once and stay: who comes then has the time to ask, and one of those
+// goes instead; one that has still not asked after it goes first. Met on a crowded day: new connections were ended after a
+// tenth of a millisecond, one for the next.
+func TestNewcomersMayAsk(t *testing.T) {
+	a := New(Settings{Most: 20, Fresh: time.Second, Remember: 100})
+	now, last := time.Second, ConnID(0)
+	ended := map[ConnID]bool{}
+	tell := func(e Event) {
+		for _, x := range a.Handle(now, &e, nil) {
+			if x.Kind == End {
+				ended[x.Conn] = true
+			}
+		}
+	}
+	arrive := func() ConnID {
+		last++
+		tell(Event{Kind: EventArrive, Conn: last, Peer: ip(int(last))})
+		return last
+	}
+	for range 20 {
+		tell(Event{Kind: EventAsked, Conn: arrive()})
+		now += time.Millisecond
+	}
+	var news []ConnID
+	for range 15 {
+		news = append(news, arrive())
+		now += time.Millisecond
+	}
+	for _, c := range news {
+		if ended[c] {
+			t.Errorf("connection %d was ended before it could ask", c)
+		}
+	}
+	now += 200 * time.Millisecond
+	arrive()
+	if !ended[news[0]] {
+		t.Error("one that has not asked for long keeps its place")
+	}
+}
