Nodes: what waits for a connection that comes up late goes by another of its node

Taken for late after an eighth of the time-out; what waits goes by a connection on which an answer came meanwhile, or once by a second dial. TestLateConnection and TestLateConnectionWaitsForOther fail without it.

--- a/internal/back/crossing_test.go
+++ b/internal/back/crossing_test.go
@@ -184,3 +184,81 @@
 	}
 	return false
 }
+
+// late has the first dial wait until it is told how it ends; later ones go to the address.
+func (r *rig) late() chan error {
+	ends := make(chan error)
+	var mu sync.Mutex
+	first := true
+	r.dial = func(n, a string, d time.Duration) (net.Conn, error) {
+		mu.Lock()
+		held := first
+		first = false
+		mu.Unlock()
+		if held {
+			if err := <-ends; err != nil {
+				return nil, err
+			}
+		}
+		return net.DialTimeout(n, a, d)
+	}
+	return ends
+}
+
+// One connection comes up late, though its node lives: what waits for it goes by another, and is given up there; nothing of it
+// goes by the late one, which serves the next.
+func TestLateConnection(t *testing.T) {
+	for _, up := range []error{nil, errCut} {
+		s := newStand(t)
+		r := newRig(t, func(l *limits.Limits) { l.Slow = 5 * time.Millisecond })
+		ends := r.late()
+		r.list(1, rules.Ready, s.Addr().String())
+		l := r.send(1, 1)
+		s.answer <- true
+		r.end(rules.Succeeded, l) // by a second dial
+		l = r.send(2, 1)
+		next(t, s.asked)
+		next(t, s.asked)
+		if !r.Abort(l) {
+			t.Error("it may have run")
+		}
+		s.answer <- false
+		ends <- up
+		r.noEnd()
+		for end := time.Now().Add(10 * time.Second); r.Count() > 1; time.Sleep(time.Millisecond) {
+			if up == nil && r.Count() == 2 { // one in doubt, one that came late
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%d connections", r.Count())
+			}
+		}
+		l = r.send(3, 1)
+		s.answer <- true
+		r.end(rules.Succeeded, l)
+	}
+}
+
+// Two are late at once, and a third has an answer: the first that waits goes by it then. What is late for good ends as such.
+func TestLateConnectionWaitsForOther(t *testing.T) {
+	s := newStand(t)
+	r := newRig(t, func(l *limits.Limits) { l.Slow, l.NodeConns = 5*time.Millisecond, 2 })
+	r.list(1, rules.Ready, s.Addr().String())
+	busy := r.send(1, 1)
+	next(t, s.asked)
+	ends := r.late()
+	l := r.send(2, 1)
+	time.Sleep(30 * time.Millisecond) // late by now, and no room for a dial
+	s.answer <- true
+	r.end(rules.Succeeded, busy)
+	s.answer <- true
+	r.end(rules.Succeeded, l)
+	busy = r.send(3, 1)
+	next(t, s.asked) // of 2
+	next(t, s.asked)
+	l = r.send(4, 1) // for the late one again
+	ends <- errCut
+	r.end(rules.Unconnected, l)
+	s.answer <- true
+	r.end(rules.Succeeded, busy)
+}
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -52,6 +52,10 @@
 	link    *link
 	up      net.Conn // nothing while it is dialled
 	writing bool     // the system may have taken more than is accounted for
+	dialled time.Time
+	heard   time.Time // when a whole answer last came on it
+	late    bool      // it does not come up, and what waits for it goes elsewhere
+	second  bool      // it was dialled because another was late
 	over    bool
 	used    time.Time
 	wake    chan struct{}
@@ -218,15 +222,97 @@
 			least, most = c, busy
 		}
 	}
-	if free == nil && len(n.conns) < p.limits.NodeConns && (p.conns < p.limits.Nodes || p.spare()) {
-		free = &conn{pool: p, node: id, link: newLink(&p.limits, &p.names), wake: make(chan struct{}, 1), used: time.Now()}
-		n.conns = append(n.conns, free)
-		p.conns++
-		go free.run(n.address)
+	if free == nil {
+		free = p.open(id, n)
 	}
 	return cmp.Or(free, least, unsure)
 }
 
+// open begins a new connection to a node, where there is room for one.
+func (p *Pool) open(id rules.NodeID, n *node) *conn {
+	if len(n.conns) >= p.limits.NodeConns || p.conns >= p.limits.Nodes && !p.spare() {
+		return nil
+	}
+	now := time.Now()
+	c := &conn{pool: p, node: id, link: newLink(&p.limits, &p.names), wake: make(chan struct{}, 1), used: now, dialled: now}
+	n.conns = append(n.conns, c)
+	p.conns++
+	go c.run(n.address)
+	return c
+}
+
+// rescue takes what waits for a connection that does not come up to another one of its node: one on which an answer came
+// meanwhile, so that the node lives, or, once, a new one, as this dial may be the only one that is late.
+func (p *Pool) rescue(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.mu.Lock()
+	c.late = c.up == nil && !c.over
+	again := c.late && !c.second && len(c.link.waiting) > 0
+	c.mu.Unlock()
+	n := p.nodes[c.node]
+	if n == nil || !again {
+		return
+	}
+	for _, other := range n.conns {
+		p.move(c, other)
+	}
+	c.mu.Lock()
+	again = len(c.link.waiting) > 0
+	c.mu.Unlock()
+	if !again {
+		return
+	}
+	if other := p.open(c.node, n); other != nil {
+		other.second = true
+		p.shift(c, other)
+	}
+}
+
+// move takes what waits for a late connection to another one, if that is up, alive and has nothing to do.
+func (p *Pool) move(from, to *conn) {
+	from.mu.Lock()
+	since := from.dialled
+	from.mu.Unlock()
+	to.mu.Lock()
+	fit := to.up != nil && !to.over && to.link.busy() == 0 && !to.link.unsure() && to.heard.After(since)
+	to.mu.Unlock()
+	if fit {
+		p.shift(from, to)
+	}
+}
+
+// shift takes the first leg that waits for a late connection to another.
+func (p *Pool) shift(from, to *conn) {
+	from.mu.Lock()
+	if !from.late || from.up != nil || len(from.link.waiting) == 0 {
+		from.mu.Unlock()
+		return
+	}
+	o := from.link.waiting[0]
+	from.link.waiting = from.link.waiting[1:]
+	from.mu.Unlock()
+	to.mu.Lock()
+	fits := !to.over && to.link.takes(o.leg)
+	to.mu.Unlock()
+	if (!fits || !to.send(o)) && !from.send(o) {
+		go p.post(time.Now(), engine.LegEnd{Leg: o.leg, Outcome: rules.Unconnected}) // the dial has failed meanwhile
+	}
+}
+
+// freed is called when nothing is open on a connection any more: it takes what waits for a late one of its node.
+func (p *Pool) freed(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := p.nodes[c.node]; n != nil {
+		for _, other := range n.conns {
+			if other.late {
+				p.move(other, c)
+			}
+		}
+	}
+}
+
 // spare ends a connection on which nothing is open, so that another may stand for it.
 func (p *Pool) spare() bool {
 	for _, n := range p.nodes {
@@ -255,6 +341,8 @@
 
 // Abort gives a leg up and says whether it may have run.
 func (p *Pool) Abort(l *engine.Leg) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock() // so that it stays where it is
 	c, sent := l.Carrier.(*conn)
 	if !sent {
 		return false
@@ -295,6 +383,8 @@
 // run dials, starts the reader, and writes until the connection is over.
 func (c *conn) run(address string) {
 	defer c.end()
+	late := time.AfterFunc(c.pool.limits.Slow, func() { c.pool.rescue(c) })
+	defer late.Stop()
 	up, err := c.pool.dial("tcp", address, c.pool.limits.Connect)
 	for n := 0; limits.Exhausted(err) && n < c.pool.limits.Redials; n++ {
 		c.pool.Relieve()
@@ -310,8 +400,9 @@
 		c.mu.Unlock()
 		return
 	}
+	late.Stop()
 	c.mu.Lock()
-	c.up = up
+	c.up, c.late = up, false
 	over := c.over
 	c.mu.Unlock()
 	if over {
@@ -380,10 +471,18 @@
 		n, err := up.Read(space)
 		now := time.Now()
 		c.mu.Lock()
+		before := c.link.heard
 		bad := c.link.got(n, now)
 		c.used = now
+		freed := c.link.heard > before && c.link.busy() == 0
+		if c.link.heard > before {
+			c.heard = now
+		}
 		ends := c.link.take()
 		c.mu.Unlock()
+		if freed && bad == nil {
+			c.pool.freed(c)
+		}
 		for _, end := range ends {
 			c.pool.post(now, end)
 		}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -56,6 +56,7 @@
 	Lines   int // lines that wait for the log
 
 	Connect     time.Duration // until a connection to a node is up
+	Slow        time.Duration // until one that is not up yet is taken for late, and what waits for it goes by another
 	Idle        time.Duration // until an idle connection to a node is closed
 	Rest        time.Duration // until a client connection is closed on which nothing comes and nothing is open
 	Whole       time.Duration // until one is on which no message was whole yet, or one that has begun is not
@@ -115,7 +116,7 @@
 		ClientIn: 64 << 10, ClientOut: 32 << 10, NodeIn: 256 << 10, NodeOut: 64 << 10,
 		Copies: t.MemoryMB << 20 / 4, Answers: int64(t.MemoryMB) << 20 / 6, Events: 4 << 20,
 		Open: 32, Waiting: 64, Queue: 4096, Lines: 1024,
-		Connect: t.Connect, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, Polite: 150 * time.Millisecond, Watch: 20 * time.Millisecond, StoreSilent: time.Second,
+		Connect: t.Connect, Slow: t.Connect / 8, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, Polite: 150 * time.Millisecond, Watch: 20 * time.Millisecond, StoreSilent: time.Second,
 		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
 		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Halt: 500 * time.Millisecond, Page: 4 * time.Second, Dial: time.Second, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
 		Pause: 5 * time.Millisecond,
