--- a/rules/admission/admission.go
+++ b/rules/admission/admission.go
@@ -342,7 +342,8 @@
 }
 
 // justCome is how long a connection that has not asked yet is about to: some times the way of a client's first message. Among
-// many that come at once, it would else be ended for the next one before its message is there.
+// many that come at once, it would else be ended for the next one before its message is there. It is spared for one that has
+// rested for longer than that, so that those who never ask do not push out those who just did.
 const justCome = 100 * ms
 
 // makeRoom ends the connection that rested longest, and says whether there was one. One that has not asked for anything yet
@@ -360,7 +361,9 @@
 			continue
 		}
 		since := a.conns[i].since
-		if k == 1 && a.now-since >= justCome {
+		if k == 1 && a.now-since < justCome {
+			since = a.now - justCome // one that has asked and rested for longer goes first
+		} else if k == 1 {
 			since -= a.set.Fresh
 		}
 		if since < longest {
--- a/rules/admission/admission_test.go
+++ b/rules/admission/admission_test.go
@@ -414,6 +414,7 @@
 		tell(Event{Kind: EventAsked, Conn: arrive()})
 		now += time.Millisecond
 	}
+	now += 150 * time.Millisecond
 	var news []ConnID
 	for range 15 {
 		news = append(news, arrive())
