Requests carry their owner and operation: names that other deployments use

A trial with the fields logged showed owner by name. Without the change TestOwnerAndOperation and Example_fetch fail.

--- a/internal/back/link.go
+++ b/internal/back/link.go
@@ -192,6 +192,10 @@
 			sep = "+"
 		}
 	}
+	if a.Once != "" {
+		f = append(f, ",once="...)
+		f = append(f, a.Once...)
+	}
 	if a.Have != "" {
 		f = append(f, ",cached="...)
 		f = append(f, a.Have...)
--- a/internal/back/link_test.go
+++ b/internal/back/link_test.go
@@ -53,7 +53,7 @@
 	k := testLink()
 	l := leg(0xa7)
 	l.Age, l.Keep, l.How = 2*time.Second, 2, rules.HowJoin|rules.HowHoldsOnly|rules.HowNoCopy|rules.HowRenew
-	l.Ask.Have, l.Ask.Body = "4be0", []byte("a\r\nb")
+	l.Ask.Have, l.Ask.Once, l.Ask.Body = "4be0", "op-7", []byte("a\r\nb")
 	k.send(order{leg: l, next: "s-1", until: time.Now().Add(time.Second)})
 	fmt.Printf("%q\n", k.outgoing(time.Now()))
 	k.out.Wrote(k.out.Len())
@@ -62,7 +62,7 @@
 	k.probe(7, "stats", time.Now())
 	fmt.Printf("%q\n", k.outgoing(time.Now()))
 	// Output:
-	// "*4\r\n$5\r\nfetch\r\n$16\r\n00000000000000a7\r\n$117\r\nclass=clip,key=000000000000beef,part=3,wait=1500,next=s-1,admit=2,agelim=2000,ways=join+held+nocopy+renew,cached=4be0\r\n$4\r\na\r\nb\r\n"
+	// "*4\r\n$5\r\nfetch\r\n$16\r\n00000000000000a7\r\n$127\r\nclass=clip,key=000000000000beef,part=3,wait=1500,next=s-1,admit=2,agelim=2000,ways=join+held+nocopy+renew,once=op-7,cached=4be0\r\n$4\r\na\r\nb\r\n"
 	// "*4\r\n$5\r\nfetch\r\n$16\r\n00000000000000a8\r\n$48\r\nclass=clip,key=000000000000beef,part=3,wait=1500\r\n$0\r\n\r\n"
 	// "*2\r\n$5\r\nabort\r\n$16\r\n00000000000000a7\r\n*2\r\n$5\r\nstats\r\n$1\r\n1\r\n"
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -27,8 +27,9 @@
 	Client Client
 	Tag    Tag
 
-	Ident  Ident // goes on unchanged, as do object, part and body
+	Ident  Ident // goes on unchanged, as do object, part, operation and body
 	Tariff rules.TariffID
+	Tenant rules.TenantID
 	Object rules.ObjectID
 	Group  rules.GroupID
 	Part   int
@@ -36,6 +37,7 @@
 	Repeat bool
 	Write  bool
 	Have   string // the tag of a copy that the client holds
+	Once   string // the operation by which repeats of a stamped view are known
 	Body   []byte
 	Left   time.Duration // from At until the client gives up
 	At     time.Time
@@ -299,7 +301,7 @@
 	e.open.Add(1)
 	e.counts.Views++
 	heap.Push(&e.timers, timer{at: v.end, view: a.View})
-	e.tell(&rules.Event{Kind: rules.EventView, View: a.View, Tariff: a.Tariff, Object: a.Object, Group: a.Group, Part: a.Part,
+	e.tell(&rules.Event{Kind: rules.EventView, View: a.View, Tariff: a.Tariff, Tenant: a.Tenant, Object: a.Object, Group: a.Group, Part: a.Part,
 		KB: a.KB, Left: v.end - e.now, Repeat: a.Repeat, Write: a.Write})
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -71,6 +71,7 @@
 	}
 	s.doors = admission.New(bounded(d.Admission, &l))
 	s.shared.limits, s.shared.tariffs, s.shared.open = l, map[string]rules.TariffID{}, map[engine.Ident]claim{}
+	s.shared.tenants = n.Tenants
 	for i, name := range n.Tariffs {
 		s.shared.tariffs[name] = rules.TariffID(i)
 		s.shared.writes = append(s.shared.writes, tariffs[i].Write)
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -28,6 +28,7 @@
 type shared struct {
 	limits  limits.Limits
 	tariffs map[string]rules.TariffID
+	tenants []string
 	writes  []bool
 	due     []time.Duration // by tariff
 	growth  []float64       // seconds for each KB
@@ -306,6 +307,12 @@
 			var err error
 			a.KB, err = strconv.ParseFloat(string(value), 64)
 			ok = err == nil && a.KB >= 0 && a.KB <= s.shared.limits.KB
+		case "owner":
+			a.Tenant = rules.TenantID(max(0, slices.Index(s.shared.tenants, string(value))))
+			ok = len(s.shared.tenants) == 0 || slices.Contains(s.shared.tenants, string(value))
+		case "opkey":
+			a.Once = string(value)
+			ok = len(value) > 0 && !bytes.ContainsFunc(value, func(r rune) bool { return r <= ' ' || r > '~' })
 		case "ver":
 			a.Have = string(value)
 			_, ok = id(value)
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -144,6 +144,44 @@
 	}
 }
 
+// Whose a view is, and the operation that it repeats, are told by its fields: another deployment has them, and nothing here
+// may take its tenants for the first one, or lose the operation on the way.
+func TestOwnerAndOperation(t *testing.T) {
+	for _, c := range []struct {
+		tenants []string
+		fields  string
+		tenant  rules.TenantID
+		once    string
+		bad     bool
+	}{
+		{[]string{"line-a", "line-b"}, ",owner=line-b,opkey=00af", 1, "00af", false},
+		{[]string{"line-a", "line-b"}, ",owner=line-a", 0, "", false},
+		{[]string{"line-a", "line-b"}, "", 0, "", false},
+		{nil, ",owner=anybody", 0, "", false},
+		{[]string{"line-a"}, ",owner=line-c", 0, "", true},
+		{nil, ",opkey=", 0, "", true},
+		{nil, ",opkey=a b", 0, "", true},
+		{nil, ",opkey=a,opkey=b", 0, "", true},
+	} {
+		s := testSession()
+		s.shared.tenants = c.tenants
+		if err := s.got(copy(s.space(), frame("DO", "1", "clip", asked+c.fields)), time.Time{}); err != nil {
+			t.Fatal(err)
+		}
+		events := s.take()
+		if (len(events) == 0) != c.bad {
+			t.Errorf("%q with %v: taken %v", c.fields, c.tenants, len(events) > 0)
+			continue
+		}
+		if c.bad {
+			continue
+		}
+		if a := events[0].(*engine.Ask); a.Tenant != c.tenant || a.Once != c.once {
+			t.Errorf("%q: tenant %d, operation %q", c.fields, a.Tenant, a.Once)
+		}
+	}
+}
+
 // The id of an open view stands for its object on all connections, and for no other until the view is over.
 func TestIdsOpen(t *testing.T) {
 	a := testSession()
--- a/internal/settings/config_test.go
+++ b/internal/settings/config_test.go
@@ -23,7 +23,7 @@
 	_, err = Load(func(string) string { return "" })
 	fmt.Println(err)
 	// Output:
-	// n4 127.0.0.1:9090 10096842570142050660 1 192 1024 {[clip] [west east] [std parent origin] [util x1] 30s 100} <nil>
+	// n4 127.0.0.1:9090 10096842570142050660 1 192 1024 {[clip] [] [west east] [std parent origin] [util x1] 30s 100} <nil>
 	// configuration: line 1, column 7: invalid character ':' after top-level value
 	// configuration: seed "xx30d27a5be964" is not hexadecimal
 	// configuration: listen: address nowhere: missing port in address
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,7 @@
 		Stream   bool    `json:"stream"`
 	} `json:"classes"`
 	Tenants []struct {
+		Name      string  `json:"name"`
 		Allowance float64 `json:"allowance_per_s"`
 	} `json:"tenants"`
 	Caps struct {
@@ -109,7 +110,7 @@
 
 // Names are what the settings call things, by place, and the figures that only connections need.
 type Names struct {
-	Tariffs, Zones, Kinds, Columns []string
+	Tariffs, Tenants, Zones, Kinds, Columns []string
 
 	Idle    time.Duration // idle connections are closed after this
 	Streams int           // legs that one connection carries at a time
@@ -188,6 +189,7 @@
 	}
 	for _, t := range c.Tenants {
 		s.Tenants = append(s.Tenants, rules.Tenant{Allowance: t.Allowance})
+		names.Tenants = append(names.Tenants, t.Name)
 	}
 	return s, names, nil
 }
