Where answers tell nothing, short ones teach what requests take, and an idle cache gets one

Checked: no rule, no descriptor, no connection at fault; health 'out' at two or three caches a router. At fault: rules.go, learn, where sizes and links are learned from answers that are told to be hits; at 'says: none' there is none, so every view was predicted to take no time and all was taken. Example_nothingTold prints three views more without the change. Deployments whose answers tell hits act as before.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -126,6 +126,10 @@
 	case v.known:
 		v.sending = m.sending
 	}
+	if r.set.Tells == TellsNone && !v.sized && !t.Write {
+		// A time that may hold a fill's wait turns nothing back by itself, or nothing better would ever be learned.
+		v.sending = min(v.sending, time.Duration(0.95/margin*float64(t.Due)))
+	}
 	v.due = min(v.end, r.now+t.Due+time.Duration(t.DueStretch*float64(v.sending)))
 	v.spare = r.overAllowance(int(e.Tenant))
 	r.retries = min(retriesMost, r.retries+retriesEach)
@@ -279,7 +283,8 @@
 		}
 	}
 	r.hold(&l, 1)
-	a := Action{Kind: ActionGet, View: v.id, Node: r.nodes[n].id, Source: r.nodes[src].id, How: how, Begin: r.window(v)}
+	a := Action{Kind: ActionGet, View: v.id, Node: r.nodes[n].id, Source: r.nodes[src].id, How: how}
+	a.Begin = r.window(v)
 	if !t.Write {
 		// Rule 5: nothing older than the last purge will do.
 		a.Age = r.oldest(v)
@@ -326,8 +331,8 @@
 	return true
 }
 
-// window is what is left of the time in which repeats of a stamped view are dropped, 0 where nothing may have run yet. A repeat
-// must be on its way by then, however long its connection takes to come up. Guards rule 2.
+// window is what is left of the time in which repeats of a stamped view are dropped, 0 where nothing may have
+// run yet. A repeat must be on its way by then, however late its connection comes up. Guards rule 2.
 func (r *Router) window(v *view) time.Duration {
 	for i := range v.n {
 		if l := &v.legs[i]; l.ran && r.set.Tariffs[v.tariff].Effect == Stamped {
@@ -445,14 +450,16 @@
 	filled := far || e.Note == NoteFilled || e.Note == NoteViaOrigin
 	n.carries.add(v.sending.Seconds(), r.now, r.carriesOver(l.node))
 	m := r.remember(v)
-	if m.seen = r.now; l.kept || e.Note == NoteHit {
+	// Where no answer tells, the first of an object stands for a hit, and any of a cache that should hold it.
+	hit := e.Note == NoteHit || r.set.Tells == TellsNone && !far && (m.sending == 0 || r.holds(v, l.node))
+	if m.seen = r.now; l.kept || hit {
 		m.at = l.node
 	}
 	body, stretch := e.Took-e.Waited, 1.0
 	if v.sending > 0 {
 		stretch = float64(body) / float64(v.sending)
 	}
-	if e.Note == NoteHit {
+	if hit {
 		// The shortest time seen is nearest to the sending time at full pace.
 		shorter := !v.sized && (m.sending == 0 || e.Took < m.sending)
 		if shorter {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -150,6 +150,40 @@
 	//   0.33s view 1: turned back
 }
 
+// Where neither sizes nor ways are told, the shortest answers stand for hits: a cache with much to send gets no more, but one
+// with nothing to do always gets one, so that a slow moment is not believed for ever. Found on a deployment that tells nothing: all
+// was taken until all was late.
+func Example_nothingTold() {
+	set := plain()
+	set.Tells, set.FlowKB, set.Direct = TellsNone, 0, false
+	set.Tariffs[0].DueStretch = 0
+	b := newBench(set, cacheA)
+	ask := func(id ViewID) {
+		b.do(&Event{Kind: EventView, View: id, Object: 7, Left: 3 * time.Second})
+	}
+	answer := func(id ViewID, took time.Duration) {
+		b.pass(took)
+		b.do(&Event{Kind: EventLegEnd, View: id, Node: cacheA, Outcome: Succeeded, Took: took, Final: true})
+	}
+	ask(1)
+	answer(1, 900*ms)
+	ask(2)
+	answer(2, 300*ms)
+	ask(3)
+	answer(3, 900*ms) // thrice as long as it needs: others are sent there too
+	ask(4)
+	b.pass(2100 * ms) // and then it may have room again
+	ask(5)
+	ask(6)
+	// Output:
+	//   0.00s view 1: leg to A, fill from P
+	//   0.90s view 2: leg to A, fill from P
+	//   1.20s view 3: leg to A, fill from P
+	//   2.10s view 4: turned back
+	//   4.20s view 5: leg to A, fill from P
+	//   4.20s view 6: turned back
+}
+
 // Rule 3: a cache told to drain gets no view at once, and is no source once its grace is over.
 func Example_drain() {
 	b := newBench(plain(), cacheA, cacheB)
