Rule 4: what is saved up for a cold node fits one window beside the turns that go on

Seen in the model of many routers (TestColdNodeAndManyRouters, extended to links of 60 transfers): a parent that is asked little at first gets a whole window's allowance at once when the other parent is lost, and the running turns besides: 1.2 times its budget of 0.6, which chance (twice the root of N, and two) covers for small N only; 1.02 of what it bears at one router, its neighbour lost after 13 s. At fault: charge, which let a window's FallFor be saved up beside the next one. (1/0.6 - 1) of a window fits.

--- a/rules/fleet_test.go
+++ b/rules/fleet_test.go
@@ -177,8 +177,8 @@
 // is lost at any moment, all of them together stay within its budget. The cost is seen in the part of views that is served.
 func TestColdNodeAndManyRouters(t *testing.T) {
 	start := time.Minute
-	for _, routers := range []int{1, 20, 300} {
-		for _, link := range []float64{1, 20} {
+	for _, routers := range []int{1, 4, 20, 300} {
+		for _, link := range []float64{1, 60} {
 			for _, parent := range []bool{false, true} {
 				for _, failing := range []bool{false, true} {
 					text, worst := "", 0.0
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -740,8 +740,9 @@
 
 // charge puts the next view to a cold node as far off as this router's part of its budget asks: the stated
 // multiple of its link, as told or as others like it were seen to carry for this router at their best (those
-// that carried far less tell of little use), times its warmth. What one window allows may go at once; a
-// router whose part is less waits its turn, from a start by chance, so that many together keep the budget.
+// that carried far less tell of little use), times its warmth. What is saved up and may go at once is what
+// a window bears beside the turns that go on in it; a router whose part is less waits its turn, from a start
+// by chance, so that many together keep the budget.
 // Guards rule 4 when the load is far from usual: a lost location, retries, a dead neighbour.
 func (r *Router) charge(v *view, n int32, times float64) {
 	weight, warm := r.rows[v.tariff].usual.get(), r.warm(n)
@@ -770,7 +771,8 @@
 	carries := max(guessCarries*r.part(n), sum/max(1, count))
 	rate := max(1e-6, coldSafety*multiple*warm*carries) // a setting that is missing leaves it next to nothing
 	gap := time.Duration(float64(weight) / rate)
-	d.next = max(d.next, r.now-max(0, r.set.FallFor-gap)) + time.Duration(times*float64(gap))
+	saved := time.Duration((1/coldSafety - 1) * float64(r.set.FallFor))
+	d.next = max(d.next, r.now-max(0, saved-gap)) + time.Duration(times*float64(gap))
 }
 
 // mostFor is how long the peak of a rate is remembered: some times as long as a trouble lasts.
