Nodes: a client's copy is current only where the node names just that copy

TestSpoilt fails without the change. TestServed's stand-in named another tag than the client's: the test was wrong there.

--- a/cmd/fennelarch/serve_test.go
+++ b/cmd/fennelarch/serve_test.go
@@ -354,7 +354,7 @@
 	odd := "\r\n*1\r\n\x00\xff" + strings.Repeat("x", 200_000)
 	cache := newNode(t, "s-1", "std", func(q query) (string, bool) {
 		if q.fields["key"] == "0000000000000002" {
-			return q.says("304", "sum=5,t0=1,how=local", ""), false
+			return q.says("304", "sum=00000000000000bc,t0=1,how=local", ""), false
 		}
 		return q.says("200", "sum=5,t0=1,how=local", odd), false
 	})
--- a/internal/back/link.go
+++ b/internal/back/link.go
@@ -269,7 +269,9 @@
 	}
 	known := false
 	end.Leg, end.Same = o.leg, word == "304"
-	if end.Outcome, known = outcomes[word]; !known || end.Same && o.leg.Ask.Have == "" || word == "200" && len(args) < 4 {
+	// A client's copy is current only where the node names just that copy.
+	if end.Outcome, known = outcomes[word]; !known || end.Same && (o.leg.Ask.Have == "" || end.Sum != o.leg.Ask.Have) ||
+		word == "200" && len(args) < 4 {
 		return resp.ErrFraming
 	}
 	delete(k.open, ident)
--- a/internal/back/link_test.go
+++ b/internal/back/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,7 +81,7 @@
 		{"200", "how=rode", rules.Succeeded, rules.NoteJoined},
 		{"200", "how=expired", rules.Succeeded, rules.NoteStale},
 		{"200", "-", rules.Succeeded, rules.NoteNone},
-		{"304", "how=local", rules.Succeeded, rules.NoteHit},
+		{"304", "sum=copy,how=local", rules.Succeeded, rules.NoteHit},
 		{"404", "how=rode", rules.Missed, rules.NoteJoined},
 		{"404", "", rules.Missed, rules.NoteNone},
 		{"503", "how=turned_away", rules.Full, rules.NoteRefused},
@@ -171,11 +172,16 @@
 // What cannot be an answer to what was asked ends the connection, and what is open there may have run.
 func TestSpoilt(t *testing.T) {
 	for _, text := range []string{
-		frame(ident, "599", "how=unheard_of"), frame(ident, "200", "-"), frame(ident, "304", "-"), frame(ident), frame("1", "asleep"),
+		frame(ident, "599", "how=unheard_of"), frame(ident, "200", "-"), frame(ident, "304", "-"), frame(ident, "304", "sum=other,how=local"),
+		frame(ident, "304", "how=local,sum="), frame(ident), frame("1", "asleep"),
 		frame("zz", "200"), "*4\r\n$16\r\n" + ident + "\r\n$3\r\n200\r\n$1\r\n-\r\n$3000000000\r\n", "noise",
 	} {
 		k := testLink()
-		k.sendAll(leg(0xa7), -1)
+		l := leg(0xa7)
+		if strings.Contains(text, "sum=") {
+			l.Ask.Have = "copy"
+		}
+		k.sendAll(l, -1)
 		k.probe(7, "stats", time.Now())
 		if k.hear(text, 3) == nil {
 			t.Errorf("%q is believed", text)
