--- a/internal/back/pool_test.go
+++ b/internal/back/pool_test.go
@@ -30,13 +30,17 @@
 		t.Fatal(err)
 	}
 	s := &stand{Listener: ln, conns: make(chan net.Conn, 100), asked: make(chan string, 100), answer: make(chan bool, 100)}
-	t.Cleanup(func() { _ = ln.Close() })
+	t.Cleanup(func() {
+		_ = ln.Close()
+		close(s.answer)
+	})
 	go func() {
 		for {
 			c, err := ln.Accept()
 			if err != nil {
 				return
 			}
+			t.Cleanup(func() { _ = c.Close() })
 			s.conns <- c
 			go func() {
 				for r := redcon.NewReader(c); ; {
@@ -75,6 +79,18 @@
 			r.ends <- end
 		}
 	}, zap.NewNop())
+	t.Cleanup(func() {
+		r.mu.Lock()
+		for _, n := range r.nodes {
+			r.drop(n)
+		}
+		r.mu.Unlock()
+		for end := time.Now().Add(10 * time.Second); r.Count() > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d connections are left", r.Count())
+			}
+		}
+	})
 	return r
 }
 
--- /dev/null
+++ b/internal/engine/crossing_test.go
@@ -0,0 +1,161 @@
+package engine
+
+// What comes in one turn of the engine: the end of a leg, the client's leaving, its time being up, a drain, a purge and the order to
+// stop, in every order. One clock reading serves all of them.
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fennelarch/rules"
+)
+
+// orders is every order of n things.
+func orders(n int) (all [][]int) {
+	if n == 0 {
+		return [][]int{nil}
+	}
+	for _, o := range orders(n - 1) {
+		for at := range n {
+			p := append([]int(nil), o[:at]...)
+			all = append(all, append(append(p, n-1), o[at:]...))
+		}
+	}
+	return all
+}
+
+// watcher counts what a client hears, and which legs go out once nothing may.
+type watcher struct {
+	rig
+	answers []Verdict
+	over    bool // the client has left, or has its answer
+	t       *testing.T
+	what    string
+}
+
+func (w *watcher) Answer(_ Tag, a Answer) {
+	w.answers = append(w.answers, a.Verdict)
+	w.over = true
+}
+
+func (w *watcher) Send(l *Leg) {
+	if w.over {
+		w.t.Errorf("%s: leg %d was sent for a view that was over", w.what, l.No)
+	}
+	w.legs = append(w.legs, l)
+}
+
+func (w *watcher) Abort(l *Leg) bool { return w.tried }
+
+func newWatcher(t *testing.T, what string, own ...Own) *watcher {
+	r := newRig(own...)
+	w := &watcher{rig: *r, t: t, what: what}
+	w.mute = true
+	w.caches = w
+	return w
+}
+
+// Whatever coincides with the end of a leg, and in which order: a client that stays has one answer, one that left has at most the
+// one that crossed, nothing is sent for a view that is over, a one-shot view that may have run goes nowhere else, and nothing is
+// left in the engine.
+func TestOneTurnInEveryOrder(t *testing.T) {
+	ends := []struct {
+		name    string
+		outcome rules.Outcome
+		note    rules.Note
+	}{{"succeeded", rules.Succeeded, rules.NoteHit}, {"broken", rules.Broken, 0}, {"refused", rules.Unconnected, 0},
+		{"missed", rules.Missed, rules.NoteLacks}, {"error", rules.Errored, 0}, {"full", rules.Full, 0}}
+	for tariff := range rules.TariffID(2) {
+		for _, end := range ends {
+			for _, ran := range []bool{true, false} { // what giving up finds
+				for _, o := range orders(6) {
+					w := newWatcher(t, fmt.Sprintf("tariff %d, %s, may have run %v, order %v", tariff, end.name, ran, o))
+					w.tried = ran
+					w.tell(&Ask{View: 1, Client: w, Tag: 1, Tariff: tariff, Write: tariff == 1, Object: 7, KB: 100, Left: 300 * time.Millisecond,
+						At: w.start.Add(w.at)})
+					if len(w.legs) != 1 {
+						t.Fatalf("%s: %d legs", w.what, len(w.legs))
+					}
+					w.pass(299 * time.Millisecond)
+					before := len(w.legs)
+					w.at += time.Millisecond // the time is up in this turn
+					left, mayRun := false, false
+					for _, what := range o {
+						switch what {
+						case 0:
+							if !w.legs[0].done && (end.outcome == rules.Broken || end.outcome == rules.Errored) {
+								mayRun = true
+							}
+							w.end(0, end.outcome, end.note)
+						case 1:
+							left, w.over = true, true
+							w.tell(Gone{1})
+						case 2:
+							w.Tick(w.at)
+						case 3:
+							m := rules.Member{Node: cache, State: rules.Draining, Weight: 1}
+							w.tell(List{Nodes: []Node{{Member: m}}})
+						case 4:
+							w.tell(Purge{Object: 7, Issued: w.start.Add(w.at)})
+						case 5:
+							w.tell(Stop{After: time.Second})
+						}
+						if tariff == 1 && mayRun && len(w.legs) > before {
+							t.Fatalf("%s: a one-shot view that may have run was sent again", w.what)
+						}
+					}
+					w.pass(2 * time.Second)
+					if n := len(w.answers); n > 1 || n == 0 && !left {
+						t.Fatalf("%s: %d answers", w.what, n)
+					}
+					if tariff == 1 && mayRun && len(w.legs) > before {
+						t.Fatalf("%s: a one-shot view that may have run was sent again later", w.what)
+					}
+					if tariff == 1 && mayRun && len(w.answers) == 1 && w.answers[0] == TurnedBack {
+						t.Fatalf("%s: turned back though it may have run", w.what)
+					}
+					for i := range w.legs { // what is out yet ends now
+						w.end(i, rules.Broken, 0)
+					}
+					if len(w.views) != 0 || w.Open() != 0 {
+						t.Fatalf("%s: %d views, %d open", w.what, len(w.views), w.Open())
+					}
+				}
+			}
+		}
+	}
+}
+
+// A copy of the router's own is dropped for another, or purged, while its bytes are on their way: they arrive whole, and the leg
+// ends once.
+func TestOwnCopyDroppedWhileSent(t *testing.T) {
+	for _, drops := range []func(w *watcher){
+		func(w *watcher) { w.tell(Purge{Object: 7, Issued: w.start.Add(w.at)}) },
+		func(w *watcher) {
+			a := &Ask{Object: 8, Left: time.Second}
+			w.copies.keep(a, &LegEnd{Body: make([]byte, 900), Sum: "other", Born: w.start.Add(w.at)}, w.start.Add(w.at))
+		},
+		func(w *watcher) { w.tell(Gone{2}) },
+	} {
+		w := newWatcher(t, "own copies", Own{Bytes: 1300, Flow: 1000, Link: 1000, Forget: time.Second})
+		ask := func(id rules.ViewID) {
+			w.over = false
+			w.tell(&Ask{View: id, Client: w, Tag: Tag(id), Object: 7, KB: 100, Left: 3 * time.Second, At: w.start.Add(w.at)})
+		}
+		ask(1)
+		w.end(0, rules.Succeeded, rules.NoteHit)
+		ask(2)
+		for i := 1; i < len(w.legs) && len(w.answers) < 2; i++ { // all nodes are full: its own copy is what is left
+			w.end(i, rules.Full, 0)
+		}
+		if len(w.answers) != 2 || w.answers[1] != Succeeded {
+			t.Fatalf("answers %v", w.answers)
+		}
+		drops(w)
+		w.pass(time.Second)
+		if len(w.answers) != 2 || len(w.views) != 0 || w.Open() != 0 {
+			t.Errorf("%d answers, %d views, %d open", len(w.answers), len(w.views), w.Open())
+		}
+	}
+}
