Nodes: whether a connection is late is read under its lock

Found by the race detector over cmd/fennelarch (two runs of the suite): Pool.freed read conn.late without the lock under which run writes it.

--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -272,8 +272,11 @@
 // move takes what waits for a late connection to another one, if that is up, alive and has nothing to do.
 func (p *Pool) move(from, to *conn) {
 	from.mu.Lock()
-	since := from.dialled
+	late, since := from.late, from.dialled
 	from.mu.Unlock()
+	if !late || from == to {
+		return
+	}
 	to.mu.Lock()
 	fit := to.up != nil && !to.over && to.link.busy() == 0 && !to.link.unsure() && to.heard.After(since)
 	to.mu.Unlock()
@@ -306,9 +309,7 @@
 	defer p.mu.Unlock()
 	if n := p.nodes[c.node]; n != nil {
 		for _, other := range n.conns {
-			if other.late {
-				p.move(other, c)
-			}
+			p.move(other, c)
 		}
 	}
 }
