Clients: a connection is taken off the count once, whoever closes it

Found by the race detector (TestKeys): redcon closes all connections of a listener that ends beside the goroutine of each. Four runs of internal/front and internal/back under -race are clean.

--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -119,7 +119,7 @@
 	s.mu.Unlock()
 	a, _ := s.tell(admission.Event{Kind: admission.EventArrive, Conn: c.id, Peer: admission.Address(ip.Addr().As16()), TLS: s.keys != nil})
 	if a.Kind == admission.Take {
-		c.owner = true
+		c.counts.Store(true)
 		s.live.Add(1)
 		return c
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -148,7 +148,7 @@
 	id     admission.ConnID
 	paused atomic.Int64 // for how long nothing is to be taken of it
 	ended  atomic.Bool  // it is to make room for others
-	owner  bool         // redcon was handed it
+	counts atomic.Bool  // among those that are not closed yet
 
 	mu      sync.Mutex
 	change  *sync.Cond // of the session
@@ -221,8 +221,7 @@
 
 // Close ends the connection for good.
 func (c *conn) Close() error {
-	if c.owner {
-		c.owner = false
+	if c.counts.Swap(false) {
 		c.server.live.Add(-1)
 	}
 	return c.Conn.Close()
