Tests of the program: a router's port cannot be taken between its choice and its start

One run of five packages under -race failed and two repeats did not. Played fourteen at a time, TestStopAmongSilence failed in 2 of 70: 'bind: address already in use', as newFleet chose a port, closed it, and another process took it before the router listened. Each process now has a loopback address of its own: 12 at a time, 24 plays of nine tests, all passed.

--- a/cmd/fennelarch/endings_test.go
+++ b/cmd/fennelarch/endings_test.go
@@ -191,12 +191,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	_ = ln.Close()
+	address := freeAddress(t)
 	path := f.config + ".empty"
 	empty := strings.Replace(strings.Replace(string(text), f.board.First(), `{"no":0,"items":[]}`, 1), f.listen, address, 1)
 	if err := os.WriteFile(path, []byte(empty), 0o600); err != nil {
--- a/cmd/fennelarch/serve_test.go
+++ b/cmd/fennelarch/serve_test.go
@@ -205,16 +205,23 @@
   "merges_fills":false,"neighbours":"any","parent_floor":0.1,"parent_ramp_ms":20000,"upper_fall_multiple":2,"purge_grace_ms":1000,
   "root_kind":2,"second_tier_kind":1,"says":"all","seats_by_zone":[1,0],"origin_limit_factor":2.5,"origin_bears_ms":3000}}`
 
+// freeAddress is one that a router can listen at. It is on a loopback address of this process alone: between here and there,
+// nobody else can take the port.
+func freeAddress(t *testing.T) string {
+	pid := os.Getpid()
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>14&0x7f, pid>>7&0x7f, 1+pid&0x7f))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
 func newFleet(t *testing.T, caches ...*node) *fleet {
 	f := &fleet{t: t, board: newBoard(t), logged: make(chan struct{})}
 	f.parent, f.origin = newNode(t, "s-parent", "parent", missing), newNode(t, "s-origin", "origin", hit)
 	f.board.list(true, "ready", append(caches, f.parent, f.origin)...)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.listen = ln.Addr().String()
-	_ = ln.Close()
+	f.listen = freeAddress(t)
 	f.config = filepath.Join(t.TempDir(), "config.json")
 	f.configure(f.board, "")
 	f.router = program("serve", f.config)
