--- a/cmd/fennelarch/endings_test.go
+++ b/cmd/fennelarch/endings_test.go
@@ -248,12 +248,7 @@
 	_ = f.router.Process.Signal(syscall.SIGHUP)
 	b := newNode(t, "s-2", "std", hit)
 	other.list(false, "ready", b)
-	object := 10
-	await(t, "a leg to the cache that only the new bulletin tells of", func() bool {
-		object++
-		c.expect(c.view("clip", object, 2000, ""), "OK")
-		return len(b.got("fetch")) > 0
-	})
+	c.reaches(b) // only the new bulletin tells of it
 	c.expect(c.view("film", 1, 2000, ""), "FAILED")
 	before := len(f.origin.got("fetch"))
 	f.origin.set(func(query) (string, bool) { return "", true }) // it may have run
--- a/cmd/fennelarch/serve_test.go
+++ b/cmd/fennelarch/serve_test.go
@@ -338,6 +338,17 @@
 	return len(c.answers[tag])
 }
 
+// reaches asks for one object after the other until a node that the router has just been told of is asked.
+func (c *client) reaches(n *node) {
+	c.t.Helper()
+	object := 0
+	await(c.t, "a leg to "+n.uid, func() bool {
+		object++
+		c.expect(c.view("clip", object, 2000, ""), "OK")
+		return len(n.got("fetch")) > 0
+	})
+}
+
 // answer awaits the one answer under a tag.
 func (c *client) answer(tag string) []string {
 	c.t.Helper()
@@ -565,12 +576,7 @@
 	f.board.list(false, "ready", b)
 	c.expect(c.view("clip", 1, 2000, ""), "OK")
 	f.board.Mute(false)
-	object := 0
-	await(t, "a leg to the new cache", func() bool {
-		object++
-		c.expect(c.view("clip", object, 2000, ""), "OK")
-		return len(b.got("fetch")) > 0
-	})
+	c.reaches(b)
 }
 
 // At SIGHUP the bulletin is followed at its new address, from the number that it has come to. A configuration that cannot be
@@ -589,12 +595,7 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	other.list(false, "ready", b)
-	object := 0
-	await(t, "a leg to the new cache", func() bool {
-		object++
-		c.expect(c.view("clip", object, 2000, ""), "OK")
-		return len(b.got("fetch")) > 0
-	})
+	c.reaches(b)
 	_ = f.router.Process.Signal(syscall.SIGTERM)
 	_ = f.router.Process.Signal(syscall.SIGHUP)
 	c.expect(c.view("clip", 1, 2000, ""), "OK")
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -101,9 +101,6 @@
 // Serve takes connections from a listener until it is closed.
 func (s *Server) Serve(l net.Listener) error { return s.redcon.Serve(listener{l, s}) }
 
-// Quiet says whether no connection has anything open or to be written.
-func (s *Server) Quiet() bool { return s.busy.Load() == 0 }
-
 // End has every connection go as soon as nothing is owed on it; what is still asked is refused at once.
 func (s *Server) End() {
 	s.ending.Store(true)
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -105,15 +105,10 @@
 		open: map[engine.Tag]*engine.Ask{}}
 }
 
-// space is where what comes next is to be read into; got says how much came and when.
+// space is where what comes next is to be read into.
 func (s *session) space() []byte { return s.in.Tail() }
 
-func (s *session) got(n int, now time.Time) error {
-	s.put(n, now)
-	return s.parse(now)
-}
-
-// put takes bytes that came, unread as yet.
+// put says how much came and when; nothing of it is taken yet.
 func (s *session) put(n int, now time.Time) {
 	if s.asked && s.in.Len() == 0 {
 		s.begun = now
--- a/internal/front/session_test.go
+++ b/internal/front/session_test.go
@@ -30,6 +30,12 @@
 
 func do(tag int, body string) string { return frame("DO", fmt.Sprint(tag), "clip", asked, body) }
 
+// got takes what came into the space at once.
+func (s *session) got(n int, now time.Time) error {
+	s.put(n, now)
+	return s.parse(now)
+}
+
 // hear feeds bytes in parts of so many, and tells what came of it: views, what was given up, and the words written.
 func (s *session) hear(stream string, each int) (string, error) {
 	var log []string
