--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"math"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -25,6 +24,7 @@
 	"fennelarch/internal/limits"
 	"fennelarch/internal/operator"
 	"fennelarch/internal/settings"
+	"fennelarch/internal/system"
 	"fennelarch/rules"
 )
 
@@ -89,7 +89,7 @@
 		return fmt.Errorf("configuration: known: %w", err)
 	}
 
-	ln, err := net.Listen("tcp", c.Listen)
+	ln, err := system.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -17,6 +17,7 @@
 	"fennelarch/internal/engine"
 	"fennelarch/internal/limits"
 	"fennelarch/internal/settings"
+	"fennelarch/internal/system"
 	"fennelarch/rules"
 )
 
@@ -63,7 +64,7 @@
 
 // New returns a pool that knows no node. Ends of legs and probes go to post.
 func New(l limits.Limits, n settings.Names, reports bool, post func(at time.Time, what any), log *zap.Logger) *Pool {
-	p := &Pool{limits: l, names: names{tariffs: n.Tariffs, columns: n.Columns}, verb: "alive", post: post, log: log, dial: net.DialTimeout,
+	p := &Pool{limits: l, names: names{tariffs: n.Tariffs, columns: n.Columns}, verb: "alive", post: post, log: log, dial: system.DialTimeout,
 		nodes: map[rules.NodeID]*node{}}
 	if reports {
 		p.verb = "stats"
@@ -387,7 +388,7 @@
 	late := time.AfterFunc(c.pool.limits.Slow, func() { c.pool.rescue(c) })
 	defer late.Stop()
 	up, err := c.pool.dial("tcp", address, c.pool.limits.Connect)
-	for n := 0; limits.Exhausted(err) && n < c.pool.limits.Redials; n++ {
+	for n := 0; system.Exhausted(err) && n < c.pool.limits.Redials; n++ {
 		c.pool.Relieve()
 		if c.pool.Short != nil {
 			c.pool.Short() // others may make room: legs under way come first
@@ -397,7 +398,7 @@
 	}
 	if err != nil {
 		c.mu.Lock()
-		c.link.short = limits.Exhausted(err)
+		c.link.short = system.Exhausted(err)
 		c.mu.Unlock()
 		return
 	}
--- a/internal/back/pool_test.go
+++ b/internal/back/pool_test.go
@@ -3,6 +3,9 @@
 import (
 	"net"
 	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -22,6 +25,7 @@
 	conns  chan net.Conn
 	asked  chan string
 	answer chan bool
+	wait   atomic.Int64 // the deadline that the last request named, in milliseconds
 }
 
 func newStand(t *testing.T) *stand {
@@ -49,6 +53,10 @@
 						_ = c.Close()
 						return
 					}
+					if _, rest, found := strings.Cut(string(cmd.Raw), ",wait="); found {
+						ms, _ := strconv.Atoi(rest[:strings.IndexAny(rest, ",\r")])
+						s.wait.Store(int64(ms))
+					}
 					s.asked <- string(cmd.Args[0])
 					if string(cmd.Args[0]) == "fetch" && <-s.answer {
 						_, _ = c.Write([]byte(frame(string(cmd.Args[1]), "200", "-", "bytes")))
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -22,6 +22,7 @@
 	"fennelarch/internal/engine"
 	"fennelarch/internal/limits"
 	"fennelarch/internal/settings"
+	"fennelarch/internal/system"
 	"fennelarch/rules"
 )
 
@@ -83,7 +84,7 @@
 
 // New returns a follower of the bulletin at an address, that has seen nothing.
 func New(l limits.Limits, n settings.Names, address string, log *zap.Logger) *Follower {
-	return &Follower{limits: l, names: n, address: address, log: log, dial: (&net.Dialer{}).DialContext}
+	return &Follower{limits: l, names: n, address: address, log: log, dial: system.DialContext}
 }
 
 // Move makes it follow the bulletin at another address, from the event that it has come to: the numbers go on.
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -156,6 +156,12 @@
 	h.t.Helper()
 	c := h.dial()
 	_ = c.SetReadBuffer(4 << 10)
+	h.stuff(c, tag)
+	return c
+}
+
+func (h *house) stuff(c *net.TCPConn, tag int) {
+	h.t.Helper()
 	big := bytes.Repeat([]byte("x"), 240_000)
 	for n := 1; n <= 60; n++ {
 		h.write(c, view(n))
@@ -180,7 +186,6 @@
 		}
 		return false
 	})
-	return c
 }
 
 // The input of a client that does not read is held; that it leaves, or gives something up, is noticed all the same, and
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -16,6 +16,7 @@
 	"fennelarch/internal/engine"
 	"fennelarch/internal/limits"
 	"fennelarch/internal/resp"
+	"fennelarch/internal/system"
 	"fennelarch/rules/admission"
 )
 
@@ -30,7 +31,7 @@
 
 func (s *spare) hold() {
 	if s.file == nil {
-		s.file, _ = os.Open(os.DevNull)
+		s.file, _ = system.Open(os.DevNull)
 	}
 }
 
@@ -86,7 +87,7 @@
 	for {
 		up, err := l.Listener.Accept()
 		switch {
-		case err != nil && limits.Exhausted(err):
+		case err != nil && system.Exhausted(err):
 			if c := s.overflow(l.Listener); c != nil {
 				return c, nil
 			}
@@ -259,7 +260,7 @@
 	for range s.shared.limits.Sockets {
 		up, err := t.Accept()
 		if err != nil {
-			if limits.Exhausted(err) {
+			if system.Exhausted(err) {
 				time.Sleep(a.Wait) // not even the spare one is to be had
 			}
 			return nil
--- a/internal/front/keys.go
+++ b/internal/front/keys.go
@@ -11,12 +11,12 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"fennelarch/internal/system"
 	"fennelarch/rules/admission"
 )
 
@@ -42,16 +42,16 @@
 
 // Load reads them again. A pair that cannot be used leaves the old one in force.
 func (k *Keys) Load(f Files) error {
-	pair, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	pair, err := system.LoadKeyPair(f.Cert, f.Key)
 	if err != nil {
 		return fmt.Errorf("certificate %s: %w", f.Cert, err)
 	}
-	if leaf, err := x509.ParseCertificate(pair.Certificate[0]); err != nil || time.Now().After(leaf.NotAfter) {
+	if leaf, err := x509.ParseCertificate(pair.Certificate[0]); err != nil || system.WallClock().After(leaf.NotAfter) {
 		return fmt.Errorf("certificate %s: %w", f.Cert, errors.Join(err, errExpired))
 	}
 	c := &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: max(tls.VersionTLS12, f.Min)}
 	if f.ClientCA != "" {
-		pem, err := os.ReadFile(f.ClientCA)
+		pem, err := system.ReadFile(f.ClientCA)
 		if err != nil {
 			return err
 		}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -3,21 +3,7 @@
 // of its own. What decides about views stands in package rules instead.
 package limits
 
-import (
-	"errors"
-	"syscall"
-	"time"
-)
-
-// Exhausted says whether a call failed because the process or the system has no descriptor, or no memory for one.
-func Exhausted(err error) bool {
-	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
-		if errors.Is(err, e) {
-			return true
-		}
-	}
-	return false
-}
+import "time"
 
 // Limits is filled by From.
 type Limits struct {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -9,8 +9,8 @@
 	_ "embed"
 	"encoding/json"
 	"errors"
+	"fennelarch/internal/system"
 	"fmt"
-	"os"
 	"path/filepath"
 	"reflect"
 	"slices"
@@ -104,7 +104,7 @@
 	if path == "" {
 		return &File{}, nil
 	}
-	text, err := os.ReadFile(path)
+	text, err := system.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("operator's file: %w", err)
 	}
@@ -145,7 +145,7 @@
 			return nil, fmt.Errorf("%s: a store that is not listed needs addresses", place(text, "stores", strconv.Itoa(i)))
 		}
 		if s.PasswordFile != "" {
-			word, err := os.ReadFile(within(folder, s.PasswordFile))
+			word, err := system.ReadFile(within(folder, s.PasswordFile))
 			if err != nil {
 				return nil, fmt.Errorf("%s: %w", at("password_file"), err)
 			}
@@ -205,7 +205,7 @@
 func (t *TLS) config(folder string) (*tls.Config, error) {
 	c := &tls.Config{MinVersion: tls.VersionTLS12, ServerName: t.ServerName}
 	if t.CAFile != "" {
-		pem, err := os.ReadFile(within(folder, t.CAFile))
+		pem, err := system.ReadFile(within(folder, t.CAFile))
 		if err != nil {
 			return nil, err
 		}
@@ -215,7 +215,7 @@
 		}
 	}
 	if t.CertFile != "" {
-		pair, err := tls.LoadX509KeyPair(within(folder, t.CertFile), within(folder, t.KeyFile))
+		pair, err := system.LoadKeyPair(within(folder, t.CertFile), within(folder, t.KeyFile))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -8,9 +8,9 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"strconv"
 
+	"fennelarch/internal/system"
 	"fennelarch/rules"
 )
 
@@ -37,7 +37,7 @@
 	if path == "" {
 		return nil, errors.New("RELAY_CONFIG is not set")
 	}
-	text, err := os.ReadFile(path)
+	text, err := system.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/store/server.go
+++ b/internal/store/server.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"fennelarch/internal/system"
 	"fennelarch/rules"
 	decide "fennelarch/rules/store"
 )
@@ -96,8 +97,7 @@
 func (s *server) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, end := context.WithTimeout(ctx, s.carrier.limits.Connect)
 	defer end()
-	var d net.Dialer
-	up, err := d.DialContext(ctx, "tcp", address)
+	up, err := system.DialContext(ctx, "tcp", address)
 	if err != nil || s.conf.TLS == nil {
 		return up, err
 	}
--- /dev/null
+++ b/internal/system/passthrough.go
@@ -0,0 +1,26 @@
+//go:build !faults
+
+package system
+
+import (
+	"context"
+	"net"
+	"os"
+	"time"
+)
+
+// Faulty says whether this build injects faults.
+const Faulty = false
+
+func listen(network, address string) (net.Listener, error) { return net.Listen(network, address) }
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, network, address)
+}
+
+func readFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+func open(name string) (*os.File, error) { return os.Open(name) }
+
+func wallClock() time.Time { return time.Now() }
