Guard, flight recorder and stall watch as packages of their own, each with planted faults

Change: internal/guard holds the invariants of one request (its end, its attempts, repeats) and of closing a connection, with typed reasons, and counts violations by kind; internal/flightrec is a fixed ring of events; internal/stall notices that the process stood still and how old what is read just after it may be. They are not wired in yet.

--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,213 @@
+package guard
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fennelarch/internal/flightrec"
+	"fennelarch/rules"
+)
+
+var (
+	here     = Place{Node: 1, Zone: 1, Cell: 1}
+	sameCell = Place{Node: 2, Zone: 1, Cell: 1}
+	sameZone = Place{Node: 3, Zone: 1, Cell: 2}
+	farAway  = Place{Node: 4, Zone: 2, Cell: 1}
+)
+
+func newMonitor() *Monitor {
+	return NewMonitor(zap.NewNop(), flightrec.New(64, ReasonName), nil, nil)
+}
+
+// Each kind of violation counts when it is planted, and nothing else does.
+func TestPlantedViolations(t *testing.T) {
+	now := time.Now()
+	after := func(d time.Duration) time.Time { return now.Add(d) }
+	attempt := func(number rules.LegNo, at Place) Attempt {
+		return Attempt{Number: number, Place: at, NotAfter: after(time.Second), Deadline: 2 * time.Second}
+	}
+	request := func(m *Monitor, e rules.Effect) *Request {
+		return m.NewRequest(7, after(2*time.Second), Repeat{Effect: e, Scope: rules.ScopeCell, Window: time.Second})
+	}
+	for _, c := range []struct {
+		kind  Violation
+		plant func(m *Monitor)
+	}{
+		{AttemptAfterEnd, func(m *Monitor) {
+			r := request(m, rules.Harmless)
+			r.Begin(attempt(0, here), now)
+			r.End(EndCancelled, now)
+			r.Whole(0, here.Node, after(EndSlack+time.Millisecond))
+		}},
+		{AttemptAfterDeadline, func(m *Monitor) {
+			r := m.NewRequest(7, after(10*time.Millisecond), Repeat{})
+			r.Begin(Attempt{Place: here}, now)
+			r.Whole(0, here.Node, after(10*time.Millisecond+EndSlack+time.Millisecond))
+		}},
+		{AttemptAfterBound, func(m *Monitor) {
+			r := request(m, rules.Harmless)
+			a := attempt(0, here)
+			a.NotAfter, a.Deadline = now, time.Second
+			r.Begin(a, now)
+			r.Whole(0, here.Node, after(GraceSlack+time.Millisecond))
+		}},
+		{DeadlineTooLong, func(m *Monitor) {
+			r := request(m, rules.Harmless)
+			a := attempt(0, here)
+			a.Deadline = 2*time.Second + DeadlineSlack + time.Millisecond
+			r.Begin(a, now)
+			r.Whole(0, here.Node, now)
+		}},
+		{RepeatUnsafe, func(m *Monitor) {
+			r := request(m, rules.OneShot)
+			r.Begin(attempt(0, here), now)
+			r.Begin(attempt(1, here), now)
+		}},
+		{AnsweredTwice, func(m *Monitor) {
+			r := request(m, rules.Harmless)
+			r.End(EndServed, now)
+			r.End(EndFailed, now)
+		}},
+		{AnsweredLate, func(m *Monitor) {
+			request(m, rules.Harmless).End(EndServed, after(2*time.Second+AnswerSlack+time.Millisecond))
+		}},
+		{RefusedThoughRan, func(m *Monitor) {
+			r := request(m, rules.OneShot)
+			r.Begin(attempt(0, here), now)
+			r.End(EndRefused, now)
+		}},
+		{RequestUnanswered, func(m *Monitor) { m.CloseClient(7, CloseRested, 1) }},
+		{AttemptCutOff, func(m *Monitor) { m.CloseServer(7, CloseIdle, 1) }},
+		{StaleCopyServed, func(m *Monitor) { m.Violate(StaleCopyServed, 7) }},
+	} {
+		m := newMonitor()
+		c.plant(m)
+		counts, _ := m.Counts()
+		if m.Violations() != 1 || counts[c.kind.String()] != 1 {
+			t.Errorf("%v: counted %v", c.kind, counts)
+		}
+	}
+}
+
+// What crosses, in time, is refused or passed over, and is no violation.
+func TestCrossingsAreNoViolations(t *testing.T) {
+	now := time.Now()
+	m := newMonitor()
+	r := m.NewRequest(7, now.Add(time.Second), Repeat{})
+	if refusal := r.Begin(Attempt{Place: here, Deadline: time.Second}, now); refusal != SendAllowed {
+		t.Error(refusal)
+	}
+	r.Whole(0, here.Node, now.Add(time.Millisecond))
+	if !r.End(EndServed, now) || r.End(EndClientLeft, now) || r.End(EndCancelled, now) || r.Open() {
+		t.Error("a request ended more than once, or not at all")
+	}
+	if refusal := r.Begin(Attempt{Number: 1, Place: here}, now); refusal != SendRequestEnded {
+		t.Error(refusal)
+	}
+	late := m.NewRequest(8, now, Repeat{})
+	if refusal := late.Begin(Attempt{Place: here}, now); refusal != SendDeadlinePassed {
+		t.Error(refusal)
+	}
+	bound := m.NewRequest(9, now.Add(time.Second), Repeat{})
+	if refusal := bound.Begin(Attempt{Place: here, NotAfter: now}, now.Add(time.Millisecond)); refusal != SendBoundPassed {
+		t.Error(refusal)
+	}
+	m.CloseClient(1, CloseClientLeft, 3)
+	m.CloseClient(1, CloseRested, 0)
+	m.CloseServer(1, CloseServerEnded, 3)
+	if m.Violations() != 0 {
+		counts, _ := m.Counts()
+		t.Error(counts)
+	}
+	if _, closed := m.Counts(); closed["rested"] != 1 || closed["server_ended"] != 1 {
+		t.Error(closed)
+	}
+}
+
+// Which repeats may begin, by effect, scope, window, and what was proved of the attempt before.
+func TestRepeats(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name   string
+		repeat Repeat
+		to     Place
+		later  time.Duration
+		notRun bool
+		want   SendRefusal
+	}{
+		{"harmless", Repeat{Effect: rules.Harmless}, farAway, time.Second, false, SendAllowed},
+		{"one shot", Repeat{Effect: rules.OneShot}, here, 0, false, SendRepeatUnsafe},
+		{"one shot that did not run", Repeat{Effect: rules.OneShot}, farAway, 0, true, SendAllowed},
+		{"keyed, in its cell", Repeat{rules.Stamped, rules.ScopeCell, time.Second}, sameCell, 0, false, SendAllowed},
+		{"keyed, out of its cell", Repeat{rules.Stamped, rules.ScopeCell, time.Second}, sameZone, 0, false, SendRepeatUnsafe},
+		{"keyed, in its zone", Repeat{rules.Stamped, rules.ScopeZone, time.Second}, sameZone, 0, false, SendAllowed},
+		{"keyed, out of its zone", Repeat{rules.Stamped, rules.ScopeZone, time.Second}, farAway, 0, false, SendRepeatUnsafe},
+		{"keyed, anywhere", Repeat{rules.Stamped, rules.ScopeAll, time.Second}, farAway, 0, false, SendAllowed},
+		{"keyed, after its window", Repeat{rules.Stamped, rules.ScopeAll, time.Second}, here, time.Second, false, SendRepeatUnsafe},
+	} {
+		r := newMonitor().NewRequest(7, now.Add(time.Minute), c.repeat)
+		r.Begin(Attempt{Place: here}, now)
+		if c.notRun {
+			r.NotRun(0, here.Node)
+		}
+		if got := r.Begin(Attempt{Number: 1, Place: c.to}, now.Add(c.later)); got != c.want {
+			t.Errorf("%s: %v, not %v", c.name, got, c.want)
+		}
+	}
+}
+
+// A violation writes the recorder out, but not one after the other.
+func TestDump(t *testing.T) {
+	var dumped []string
+	m := NewMonitor(zap.NewNop(), flightrec.New(8, ReasonName), nil, func(reason string) { dumped = append(dumped, reason) })
+	m.Violate(AnsweredTwice, 7)
+	m.Violate(AnsweredLate, 7)
+	if strings.Join(dumped, " ") != "answered_twice" {
+		t.Error(dumped)
+	}
+	entries := m.Recorder().Entries()
+	if len(entries) != 2 || !strings.Contains(m.Recorder().Text(entries[1]), "reason=answered_late") {
+		t.Error(entries)
+	}
+}
+
+// Whatever is not guarded, or not monitored, may do anything.
+func TestUnguarded(t *testing.T) {
+	var r *Request
+	var m *Monitor
+	now := time.Now()
+	if !r.Open() || r.Begin(Attempt{}, now) != SendAllowed || !r.End(EndServed, now) || !r.End(EndServed, now) {
+		t.Error("a request that nobody guards was held up")
+	}
+	r.Whole(0, 0, now)
+	r.NotRun(0, 0)
+	r.Record(flightrec.AttemptEnded, 0, 0, 0, 0)
+	m.Violate(AnsweredLate, 1)
+	m.CloseClient(1, CloseRested, 1)
+	m.CloseServer(1, CloseIdle, 1)
+	if m.Violations() != 0 || m.Watch() != nil || m.Recorder() != nil {
+		t.Error("nothing counts something")
+	}
+	if open := m.NewRequest(1, now.Add(time.Second), Repeat{}); !open.End(EndServed, now) {
+		t.Error("a request without a monitor cannot end")
+	}
+}
+
+// Each reason has a name of its own.
+func TestReasonNames(t *testing.T) {
+	for _, list := range [][]string{violationNames[:], sendRefusalNames[:], endReasonNames[:], closeReasonNames[:]} {
+		seen := map[string]bool{}
+		for i, name := range list {
+			if name == "" || seen[name] {
+				t.Errorf("place %d: %q", i, name)
+			}
+			seen[name] = true
+		}
+	}
+	if ReasonName(flightrec.AttemptRefused, 200) != "" || ReasonName(flightrec.Stalled, 0) != "" {
+		t.Error("a reason that there is not has a name")
+	}
+}
