Deadlines by what is left, no attempt after a cancel, one guard on every path

Cause: back wrote the deadline as it was when the engine decided the attempt (link.fields, l.Wait); front took the moment of its read for that of a request's arrival, so that what lay in the system's buffer while the process stood still was as new; a request and its cancel that both waited were handed on in that order; a reader that waited for the engine's queue saw no cancel; messages behind a full queue of answers counted from when the queue emptied (conn.came was cleared).

Change: an attempt carries the moment of its deadline, and link.begin, the only way into the stream, asks the request's guard and writes what is left; a frame that has begun is whole within 100 ms or its connection ends. Readers estimate when bytes may have come (stall.Watch.Earliest); a request that is old when it is taken is handed on only after what stands behind it was read. A request that was not handed on yet is dropped with its cancel. The engine takes departures without a queue and refuses requests that find its queue full; after a stall readers go first. Every close of a connection goes by one function with a typed reason.

Also: errors of this machine (no port, no route, no descriptor) are tried again and count against no server; a server that moved keeps the connections on which something is open; a second copy of an answer is told by its age, not by a count of 32; half a request whose time is up is refused under its tag; a client that does not read can fill seven eighths of the memory for answers, not all.

--- a/cmd/fennelarch/main.go
+++ b/cmd/fennelarch/main.go
@@ -19,6 +19,7 @@
 
 type serveCmd struct {
 	Operator string `help:"The operator's own file: what this installation has beyond the platform." env:"RELAY_OPERATOR" placeholder:"FILE"`
+	Recorder string `help:"The folder into which the flight recorder is written at SIGUSR1 and at a violated invariant; none: standard error." env:"RELAY_RECORDER" placeholder:"DIR"`
 }
 
 type checkCmd struct {
@@ -29,7 +30,7 @@
 
 type versionCmd struct{}
 
-func (s serveCmd) Run() error { return serve(s.Operator) }
+func (s serveCmd) Run() error { return serve(s.Operator, s.Recorder) }
 
 func (schemaCmd) Run() error {
 	_, err := os.Stdout.Write(operator.Schema)
--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -21,6 +21,7 @@
 	"fennelarch/internal/bulletin"
 	"fennelarch/internal/engine"
 	"fennelarch/internal/front"
+	"fennelarch/internal/guard"
 	"fennelarch/internal/limits"
 	"fennelarch/internal/operator"
 	"fennelarch/internal/settings"
@@ -28,9 +29,10 @@
 	"fennelarch/rules"
 )
 
-func serve(path string) error {
-	// From the first moment on: by default either signal would end the program.
-	again, stop := make(chan os.Signal, 1), make(chan os.Signal, 1)
+func serve(path, recorderFolder string) error {
+	// From the first moment on: by default each of these signals would end the program.
+	again, stop, dump := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(dump, syscall.SIGUSR1)
 	signal.Notify(again, syscall.SIGHUP)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	c, err := settings.Load(os.Getenv)
@@ -62,20 +64,23 @@
 	log = log.With(zap.String("router", c.Name))
 
 	var eng *engine.Engine
+	offer := func(at time.Time, what any) (taken bool) { return eng.Post(at, what) }
 	post := func(at time.Time, what any) { eng.Post(at, what) }
 	start := time.Now()
+	monitor := newMonitor(c.Name, recorderFolder, log)
 	stores := newStores(own, c, lim, start, post, log)
 	pool := back.New(lim, c.Names, c.Rules.Reports == rules.ViaProbe, stores.inner(post), log)
 	eng = engine.New(c.Rules, c.Seed, lim.Queue, start, stores.over(pool),
 		engine.Own{Bytes: lim.Copies, Flow: c.Flow, Link: c.Link, Forget: lim.Forget}, log)
+	eng.Watched(monitor.Watch())
 	eng.Start(0)
 	doors, err := newDoors(own, c)
 	if err != nil {
 		return err
 	}
-	doors.Lag = eng.Lag
-	server := front.New(lim, c.Names, c.Rules.Tariffs, doors, post, log)
-	pool.Short, server.Relieve = server.Short, pool.Relieve
+	doors.Lag, doors.Guard = eng.Lag, monitor
+	server := front.New(lim, c.Names, c.Rules.Tariffs, doors, offer, log)
+	pool.Short, server.Relieve, pool.Guard = server.Short, pool.Relieve, monitor
 
 	var known bulletin.Page
 	if len(c.Known) > 0 {
@@ -95,10 +100,12 @@
 	}
 	done := make(chan struct{}) // never: the engine answers to the last
 	go eng.Run(done, lim.Summary, func(n engine.Counts) {
-		summary(log, n, server.Count(), pool.Count())
+		summary(log, n, server.Count(), pool.Count(), monitor)
 		stores.summary(log)
 		doorsSummary(own, server, log)
 	})
+	go watchStalls(context.Background(), monitor, log)
+	go dumpAtSignal(dump, monitor, c.Name, recorderFolder, log)
 	go stores.run(context.Background())
 	go follower.Run(context.Background(), func(at time.Time, what any) { post(at, stores.told(what)) })
 	go func() { _ = server.Serve(ln) }()
@@ -141,11 +148,12 @@
 	follower.Move(c.Bulletin)
 }
 
-func summary(log *zap.Logger, n engine.Counts, clients, nodes int) {
+func summary(log *zap.Logger, n engine.Counts, clients, nodes int, monitor *guard.Monitor) {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
+	violated, closed := monitor.Counts()
 	log.Info("summary", zap.Uint64("views", n.Views), zap.Uint64("succeeded", n.Succeeded),
 		zap.Uint64("turned_back", n.TurnedBack), zap.Uint64("terminated", n.Terminated), zap.Uint64("gone", n.Gone),
 		zap.Uint64("legs", n.Legs), zap.Uint64("own", n.Own), zap.Int64("open", n.Open), zap.Duration("lag", n.Lag), zap.Int("clients", clients),
-		zap.Int("nodes", nodes), zap.Uint64("memory_mb", m.Sys>>20))
+		zap.Int("nodes", nodes), zap.Uint64("memory_mb", m.Sys>>20), zap.Uint64("violations", monitor.Violations()), zap.Any("violated", violated), zap.Any("closed", closed))
 }
--- a/internal/back/link.go
+++ b/internal/back/link.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"fennelarch/internal/engine"
+	"fennelarch/internal/flightrec"
+	"fennelarch/internal/guard"
 	"fennelarch/internal/limits"
 	"fennelarch/internal/resp"
 	"fennelarch/internal/settings"
@@ -27,12 +29,19 @@
 // order is a leg on this connection: first waiting, then put into the stream up to an end.
 type order struct {
 	leg   *engine.Leg
-	next  string    // the source's name, if there is one
-	until time.Time // not begun by then, it never goes
+	place guard.Place // of the server
+	next  string      // the source's name, if there is one
+	until time.Time   // not begun by then, it never goes
 	end   int64
 	heard int // whole answers before it was sent
 }
 
+// answered is a leg that has its answer.
+type answered struct {
+	id engine.Ident
+	at time.Time
+}
+
 // asked is a probe on its way.
 type asked struct {
 	node rules.NodeID
@@ -50,7 +59,7 @@
 	waiting []order                    // nothing of them is in the stream
 	open    map[engine.Ident]order     // by the id of the view
 	past    map[engine.Ident]time.Time // when given up: a late answer may still come
-	done    []engine.Ident             // answered lately: a second copy may still come
+	done    []answered                 // lately: a second copy may still come
 	probes  map[uint64]asked           // by tag
 	tag     uint64                     // last one used
 	words   []byte                     // aborts and probes to come
@@ -59,6 +68,9 @@
 	short   bool                       // it never came up for want of a descriptor: that tells nothing of the node
 	cut     bool                       // a leg was given up that is half in the stream: its rest must never go
 	ends    []any                      // engine.LegEnd and engine.Probed, to be taken by the driver
+
+	begun   order     // the last leg that was put into the stream, until the system has taken all of it; its leg may be nil
+	begunAt time.Time // when
 }
 
 func newLink(l *limits.Limits, n *names) *link {
@@ -78,7 +90,7 @@
 func (k *link) takes(l *engine.Leg) bool {
 	id := l.Ask.Ident
 	_, open := k.open[id]
-	if _, past := k.past[id]; open || past || slices.Contains(k.done, id) {
+	if _, past := k.past[id]; open || past || slices.ContainsFunc(k.done, func(a answered) bool { return a.id == id }) {
 		return false
 	}
 	for _, w := range k.waiting {
@@ -100,10 +112,12 @@
 	for i := range k.waiting {
 		if k.waiting[i].leg == l {
 			k.waiting = slices.Delete(k.waiting, i, i+1)
+			l.Ask.Guard.Record(flightrec.AttemptAborted, l.No, l.Node, 0, 0)
 			return false
 		}
 	}
 	id := l.Ask.Ident
+	l.Ask.Guard.Record(flightrec.AttemptAborted, l.No, l.Node, 0, 1)
 	if o, open := k.open[id]; open && o.leg == l {
 		delete(k.open, id)
 		k.cut = k.cut || o.end > k.out.Written
@@ -144,24 +158,71 @@
 	for len(k.waiting) > 0 {
 		o := k.waiting[0]
 		k.waiting = slices.Delete(k.waiting, 0, 1)
-		if now.After(o.until) {
-			k.ends = append(k.ends, engine.LegEnd{Leg: o.leg, Outcome: rules.Unconnected})
-			continue
+		if k.begin(o, now) {
+			return true
 		}
-		a := o.leg.Ask
-		o.end = k.out.Put(a.Body, []byte("fetch"), []byte(hex(uint64(a.Ident))), k.fields(o))
-		k.open[a.Ident] = o
-		return true
 	}
 	return false
 }
 
+// begin puts a leg into the stream, if the guard of its request still lets it begin. There is no other way to a server.
+func (k *link) begin(o order, now time.Time) bool {
+	a := o.leg.Ask
+	left := o.leg.Deadline.Sub(now)
+	attempt := guard.Attempt{Number: o.leg.No, Place: o.place, NotAfter: o.until, Deadline: left}
+	refusal := a.Guard.Begin(attempt, now)
+	if refusal == guard.SendAllowed && left <= 0 {
+		refusal = guard.SendDeadlinePassed
+	}
+	switch refusal {
+	case guard.SendAllowed:
+	case guard.SendBoundPassed:
+		k.end(engine.LegEnd{Leg: o.leg, Outcome: rules.Unconnected}, o.place.Node)
+		return false
+	default: // it tells nothing of the server
+		k.end(engine.LegEnd{Leg: o.leg, Outcome: rules.Moot}, o.place.Node)
+		return false
+	}
+	o.end = k.out.Put(a.Body, []byte("fetch"), []byte(hex(uint64(a.Ident))), k.fields(o, left))
+	k.open[a.Ident] = o
+	k.begun, k.begunAt = o, now
+	return true
+}
+
+// wrote says how much of the stream the system has taken.
+func (k *link) wrote(n int, now time.Time) {
+	k.out.Wrote(n)
+	if o := &k.begun; o.leg != nil && o.end <= k.out.Written {
+		o.leg.Ask.Guard.Whole(o.leg.No, o.place.Node, now)
+		k.begun = order{}
+	}
+}
+
+// patience is how long the next write may take. A leg that has begun must be whole soon, or never: the deadline that it
+// names would else be too long, and its client may leave meanwhile.
+func (k *link) patience() time.Duration {
+	if k.begun.leg != nil {
+		return k.limits.Frame
+	}
+	return k.limits.Stuck
+}
+
+// end tells how a leg ended, and the guard what that proves.
+func (k *link) end(e engine.LegEnd, node rules.NodeID) {
+	switch e.Outcome {
+	case rules.Unconnected, rules.Moot, rules.Missed, rules.Full:
+		e.Leg.Ask.Guard.NotRun(e.Leg.No, node)
+	}
+	e.Leg.Ask.Guard.Record(flightrec.AttemptEnded, e.Leg.No, node, uint8(e.Outcome), 0)
+	k.ends = append(k.ends, e)
+}
+
 var ways = []struct {
 	how  rules.How
 	word string
 }{{rules.HowJoin, "join"}, {rules.HowHoldsOnly, "held"}, {rules.HowNoCopy, "nocopy"}, {rules.HowRenew, "renew"}}
 
-func (k *link) fields(o order) []byte {
+func (k *link) fields(o order, left time.Duration) []byte {
 	l, a := o.leg, o.leg.Ask
 	f := make([]byte, 0, 200)
 	f = append(f, "class="...)
@@ -171,7 +232,7 @@
 	f = append(f, ",part="...)
 	f = strconv.AppendInt(f, int64(a.Part), 10)
 	f = append(f, ",wait="...)
-	f = strconv.AppendInt(f, max(1, l.Wait.Milliseconds()), 10)
+	f = strconv.AppendInt(f, max(1, left.Milliseconds()), 10)
 	if o.next != "" {
 		f = append(f, ",next="...)
 		f = append(f, o.next...)
@@ -275,14 +336,15 @@
 		return resp.ErrFraming
 	}
 	delete(k.open, ident)
-	if len(k.done) == k.limits.Copied {
-		k.done = slices.Delete(k.done, 0, 1)
+	old := 0
+	for old < len(k.done) && now.Sub(k.done[old].at) > k.limits.Forget {
+		old++
 	}
-	k.done = append(k.done, ident)
+	k.done = append(slices.Delete(k.done, 0, old), answered{ident, now})
 	if word == "200" {
 		end.Body = bytes.Clone(args[3])
 	}
-	k.ends = append(k.ends, end)
+	k.end(end, o.place.Node)
 	return nil
 }
 
@@ -341,7 +403,7 @@
 		if k.short {
 			how = rules.Moot
 		}
-		k.ends = append(k.ends, engine.LegEnd{Leg: o.leg, Outcome: how})
+		k.end(engine.LegEnd{Leg: o.leg, Outcome: how}, o.place.Node)
 	}
 	for _, tag := range slices.Sorted(maps.Keys(k.probes)) {
 		k.ends = append(k.ends, engine.Probed{Node: k.probes[tag].node, Outcome: rules.Unconnected})
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -15,6 +15,8 @@
 	"go.uber.org/zap"
 
 	"fennelarch/internal/engine"
+	"fennelarch/internal/flightrec"
+	"fennelarch/internal/guard"
 	"fennelarch/internal/limits"
 	"fennelarch/internal/settings"
 	"fennelarch/internal/system"
@@ -30,6 +32,7 @@
 	log    *zap.Logger
 
 	Short func() // if set, is called when there is no descriptor for a connection
+	Guard *guard.Monitor
 	dial  func(network, address string, within time.Duration) (net.Conn, error)
 
 	mu    sync.Mutex
@@ -39,6 +42,7 @@
 
 type node struct {
 	uid, address string
+	place        guard.Place
 	state        rules.State
 	told         time.Time // when its state last changed
 	conns        []*conn
@@ -58,6 +62,7 @@
 	late    bool      // it does not come up, and what waits for it goes elsewhere
 	second  bool      // it was dialled because another was late
 	over    bool
+	retired bool // it takes nothing more, and ends once nothing is open on it
 	used    time.Time
 	wake    chan struct{}
 }
@@ -94,9 +99,10 @@
 			n = &node{uid: m.UID, address: m.Address}
 			p.nodes[m.Node] = n
 		}
+		n.place = guard.Place{Node: m.Node, Zone: m.Zone, Cell: m.Cell}
 		if n.address != m.Address && m.Address != "" {
 			n.address = m.Address
-			p.drop(n)
+			p.retire(n)
 		}
 		p.turn(m.Node, n, m.State, now)
 	}
@@ -123,13 +129,31 @@
 		return
 	}
 	n.state, n.told = s, now
+	p.Guard.Record(flightrec.Entry{Event: flightrec.ServerState, Node: uint64(id), Reason: uint8(s)})
 	p.log.Info("node", zap.String("uid", n.uid), zap.String("id", fmt.Sprintf("%x", uint64(id))), zap.String("state", states[s]))
 }
 
-// drop ends the connections to a node, and with them what is open there.
+// drop ends the connections to a node, and with them what is open there: another server has its address, so that none of
+// them leads anywhere.
 func (p *Pool) drop(n *node) {
 	for _, c := range n.conns {
-		go c.end()
+		go c.end(guard.CloseMoved)
+	}
+}
+
+// retire has the connections to a node take nothing more, as it has moved: what waits for one goes elsewhere, and what is
+// open keeps it up until it has ended, since the server may well answer where it was.
+func (p *Pool) retire(n *node) {
+	for _, c := range n.conns {
+		c.mu.Lock()
+		c.retired = true
+		rests := c.link.busy() == 0 || c.up == nil
+		c.mu.Unlock()
+		if rests {
+			go c.end(guard.CloseMoved)
+		} else {
+			c.stir()
+		}
 	}
 }
 
@@ -158,7 +182,7 @@
 	c.mu.Lock()
 	defer c.stir()
 	defer c.mu.Unlock()
-	if c.over {
+	if c.over || c.retired {
 		return false
 	}
 	o.leg.Carrier = c
@@ -168,9 +192,9 @@
 
 // place finds the connection for a leg. To a node, or from a source, that is told to leave, it must be on its way soon.
 func (p *Pool) place(l *engine.Leg, now time.Time) (*conn, order) {
-	o := order{leg: l, until: now.Add(p.limits.Begin)}
-	if l.Begin > 0 {
-		o.until = now.Add(min(p.limits.Begin, l.Begin))
+	o := order{leg: l, place: guard.Place{Node: l.Node}, until: now.Add(p.limits.Begin)}
+	if !l.NotAfter.IsZero() {
+		o.until = earlier(o.until, l.NotAfter)
 	}
 	for _, id := range [...]rules.NodeID{l.Node, l.Source} {
 		n := p.nodes[id]
@@ -184,6 +208,8 @@
 		}
 		if id == l.Source {
 			o.next = n.uid
+		} else {
+			o.place = n.place
 		}
 	}
 	return p.find(l.Node, l), o
@@ -209,11 +235,11 @@
 	most := p.limits.Streams
 	for _, c := range n.conns {
 		c.mu.Lock()
-		busy, fits, stuck, last := c.link.busy(), !c.over && (l == nil || c.link.takes(l)), c.link.unsure(), c.used
+		busy, fits, stuck, last := c.link.busy(), !c.over && !c.retired && (l == nil || c.link.takes(l)), c.link.unsure(), c.used
 		c.mu.Unlock()
 		switch {
 		case stuck && busy == 0:
-			go c.end()
+			go c.end(guard.CloseUnsure)
 		case !fits:
 		case stuck:
 			unsure = c
@@ -279,7 +305,7 @@
 		return
 	}
 	to.mu.Lock()
-	fit := to.up != nil && !to.over && to.link.busy() == 0 && !to.link.unsure() && to.heard.After(since)
+	fit := to.up != nil && !to.over && !to.retired && to.link.busy() == 0 && !to.link.unsure() && to.heard.After(since)
 	to.mu.Unlock()
 	if fit {
 		p.shift(from, to)
@@ -320,7 +346,7 @@
 	for _, n := range p.nodes {
 		for _, c := range n.conns {
 			if c.rests(0) {
-				go c.end()
+				go c.end(guard.CloseServerForRoom)
 				return true
 			}
 		}
@@ -335,7 +361,7 @@
 	for _, n := range p.nodes {
 		for _, c := range n.conns {
 			if c.rests(0) {
-				go c.end()
+				go c.end(guard.CloseServerForRoom)
 			}
 		}
 	}
@@ -355,7 +381,7 @@
 	ran := c.link.abort(l, time.Now())
 	if c.link.cut {
 		c.over = true
-		go c.end()
+		go c.end(guard.CloseHalfWritten)
 	}
 	return ran
 }
@@ -384,23 +410,24 @@
 
 // run dials, starts the reader, and writes until the connection is over.
 func (c *conn) run(address string) {
-	defer c.end()
+	reason := guard.CloseServerEnded
+	defer func() { c.end(reason) }()
+	up := c.connect(address)
+	if up == nil {
+		reason = guard.CloseDialFailed
+		return
+	}
+	go c.read(up)
+	reason = c.write(up)
+}
+
+// connect brings the connection up, or returns nothing.
+func (c *conn) connect(address string) net.Conn {
 	late := time.AfterFunc(c.pool.limits.Slow, func() { c.pool.rescue(c) })
 	defer late.Stop()
-	up, err := c.pool.dial("tcp", address, c.pool.limits.Connect)
-	for n := 0; system.Exhausted(err) && n < c.pool.limits.Redials; n++ {
-		c.pool.Relieve()
-		if c.pool.Short != nil {
-			c.pool.Short() // others may make room: legs under way come first
-		}
-		time.Sleep(c.pool.limits.Pause)
-		up, err = c.pool.dial("tcp", address, c.pool.limits.Connect)
-	}
+	up, err := c.dial(address)
 	if err != nil {
-		c.mu.Lock()
-		c.link.short = system.Exhausted(err)
-		c.mu.Unlock()
-		return
+		return nil
 	}
 	late.Stop()
 	c.mu.Lock()
@@ -409,37 +436,85 @@
 	c.mu.Unlock()
 	if over {
 		_ = up.Close()
-		return
+		return nil
 	}
-	go c.read(up)
+	return up
+}
+
+// dial tries until the connection is up, or it is known that it will not be. What concerns this machine alone, or may be over in a
+// moment, is tried again; if that is what remains, it tells nothing of the server.
+func (c *conn) dial(address string) (net.Conn, error) {
+	l := &c.pool.limits
+	begun := time.Now()
+	up, err := c.pool.dial("tcp", address, l.Connect)
+	for n := 0; n < l.Redials && c.again(err, time.Since(begun)); n++ {
+		if system.Exhausted(err) {
+			c.pool.Relieve()
+			if c.pool.Short != nil {
+				c.pool.Short() // others may make room: legs under way come first
+			}
+		}
+		time.Sleep(l.Pause)
+		up, err = c.pool.dial("tcp", address, max(l.Pause, l.Connect-time.Since(begun)))
+	}
+	now := time.Now()
+	fault := system.Classify(err)
+	if fault == system.FaultSilent && c.pool.Guard.Watch().Since(begun, now) {
+		fault = system.FaultLocal // this process stood still meanwhile: nobody knows what came
+	}
+	c.pool.Guard.Record(flightrec.Entry{Event: flightrec.ServerDialled, Node: uint64(c.node), Reason: uint8(fault),
+		Value: now.Sub(begun).Milliseconds()})
+	if err != nil {
+		c.mu.Lock()
+		c.link.short = fault == system.FaultLocal
+		c.mu.Unlock()
+	}
+	return up, err
+}
+
+// again says whether a dial that failed after so long is worth another try.
+func (c *conn) again(err error, took time.Duration) bool {
+	switch system.Classify(err) {
+	case system.FaultLocal:
+		return true
+	case system.FaultSilent: // told at once: the way to the server may be back in a moment
+		return took < c.pool.limits.Slow
+	}
+	return false
+}
+
+// write writes until the connection is over, and says why it is.
+func (c *conn) write(up net.Conn) guard.CloseReason {
 	idle := time.NewTicker(c.pool.limits.Idle / 4)
 	defer idle.Stop()
 	for {
+		c.pool.Guard.Watch().Settle() // a cancel of what waits here may have come while the process stood still
 		now := time.Now()
 		c.mu.Lock()
-		over := c.over
+		over := c.over || c.retired && c.link.busy() == 0
 		var out []byte
 		if !over {
 			out = c.link.outgoing(now)
 		}
+		patience := c.link.patience()
 		c.writing = len(out) > 0
 		ends := c.link.take()
 		c.mu.Unlock()
 		for _, end := range ends {
 			c.pool.post(now, end)
 		}
-		switch {
-		case over:
-			return
-		case len(out) > 0:
-			_ = up.SetWriteDeadline(now.Add(c.pool.limits.Stuck))
-			n, err := up.Write(out)
+		if over {
+			return guard.CloseMoved // or for the reason for which it was ended before
+		}
+		if len(out) > 0 {
+			_ = up.SetWriteDeadline(now.Add(patience))
+			n, err := system.Write(up, out)
 			c.mu.Lock()
-			c.link.out.Wrote(n)
+			c.link.wrote(n, time.Now())
 			c.writing, c.used = false, now
 			c.mu.Unlock()
 			if err != nil {
-				return
+				return guard.CloseServerWrite
 			}
 			continue
 		}
@@ -447,7 +522,7 @@
 		case <-c.wake:
 		case <-idle.C:
 			if c.rests(c.pool.limits.Idle) {
-				return
+				return guard.CloseIdle
 			}
 		}
 	}
@@ -457,7 +532,7 @@
 func (c *conn) rests(long time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.up == nil || c.link.busy() > 0 || time.Since(c.used) < long {
+	if c.up == nil || c.over || c.link.busy() > 0 || time.Since(c.used) < long {
 		return false
 	}
 	c.over = true
@@ -465,12 +540,13 @@
 }
 
 func (c *conn) read(up net.Conn) {
-	defer c.end()
+	reason := guard.CloseServerEnded
+	defer func() { c.end(reason) }()
 	for {
 		c.mu.Lock()
 		space := c.link.space()
 		c.mu.Unlock()
-		n, err := up.Read(space)
+		n, err := system.Read(up, space)
 		now := time.Now()
 		c.mu.Lock()
 		before := c.link.heard
@@ -480,34 +556,48 @@
 		if c.link.heard > before {
 			c.heard = now
 		}
+		retired := freed && c.retired
 		ends := c.link.take()
 		c.mu.Unlock()
-		if freed && bad == nil {
+		if freed && bad == nil && !retired {
 			c.pool.freed(c)
 		}
 		for _, end := range ends {
 			c.pool.post(now, end)
 		}
-		if err != nil || bad != nil {
+		switch {
+		case bad != nil:
+			reason = guard.CloseSpoilt
+			return
+		case err != nil:
+			return
+		case retired:
+			reason = guard.CloseMoved
 			return
 		}
 	}
 }
 
-// end takes the connection out of the pool and reports what was open on it. It may be called more than once. While something
-// is being written, only the writer knows how much of it went: it is closed then, and the writer's own end reports.
-func (c *conn) end() {
+// end takes the connection out of the pool and reports what was open on it: there is no other way to close one. It may be called
+// more than once; the first reason counts. While something is being written, only the writer knows how much of it went: it is closed
+// then, and the writer's own end reports.
+func (c *conn) end(reason guard.CloseReason) {
 	now := time.Now()
 	p := c.pool
 	p.mu.Lock()
+	first := false
 	if n := p.nodes[c.node]; n != nil {
 		if i := slices.Index(n.conns, c); i >= 0 {
 			n.conns = slices.Delete(n.conns, i, i+1)
 			p.conns--
+			first = true
 		}
 	}
 	p.mu.Unlock()
 	c.mu.Lock()
+	if first {
+		p.Guard.CloseServer(uint64(c.node), reason, c.link.busy())
+	}
 	c.over = true
 	var ends []any
 	if !c.writing {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -7,11 +7,14 @@
 	"container/heap"
 	"hash/fnv"
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"fennelarch/internal/guard"
+	"fennelarch/internal/stall"
 	"fennelarch/rules"
 )
 
@@ -40,7 +43,9 @@
 	Once   string // the operation by which repeats of a stamped view are known
 	Body   []byte
 	Left   time.Duration // from At until the client gives up
-	At     time.Time
+	At     time.Time     // the earliest moment at which its last byte may have come
+
+	Guard *guard.Request // knows when it ends, whoever ends it; none: nobody guards it
 }
 
 // Client takes the one final answer of a view. It must not block.
@@ -71,11 +76,13 @@
 	No     rules.LegNo
 	Node   rules.NodeID
 	Source rules.NodeID // none: no fill
-	Wait   time.Duration
-	Begin  time.Duration // on its way by then, or never; 0: no bound of its own
-	Age    time.Duration
-	Keep   uint8
-	How    rules.How
+
+	Deadline time.Time // when it is given up: the server is told what is left until then
+	NotAfter time.Time // on its way by then, or never; zero: no bound of its own
+
+	Age  time.Duration
+	Keep uint8
+	How  rules.How
 
 	Carrier any // the carrier's own
 
@@ -185,8 +192,11 @@
 	members []rules.Member
 	counts  Counts
 	stop    time.Duration // no view lasts longer
-	open    atomic.Int64
-	lag     atomic.Int64 // that the last event had
+	watch   *stall.Watch
+
+	departures departures
+	open       atomic.Int64
+	lag        atomic.Int64 // that the last event had
 }
 
 // New returns an engine whose clock starts at start.
@@ -194,11 +204,56 @@
 	set.OwnRoom = own.Room()
 	return &Engine{in: make(chan Event, queue), router: rules.New(set, seed), set: set, caches: caches, copies: newCopies(own), log: log,
 		start: start,
-		stop:  math.MaxInt64, views: map[rules.ViewID]*view{}}
+		stop:  math.MaxInt64, views: map[rules.ViewID]*view{}, departures: departures{told: make(chan struct{}, 1)}}
+}
+
+// Watched has the engine let readers go first just after a stall of the process.
+func (e *Engine) Watched(w *stall.Watch) { e.watch = w }
+
+// Post tells the engine of an event. A request is not taken where too many events are before it: its client's connection
+// must go on being read, or a cancel behind it would not be seen. That a client has gone is always taken, at once; all else
+// waits for its turn.
+func (e *Engine) Post(at time.Time, what any) (taken bool) {
+	switch what := what.(type) {
+	case Gone:
+		e.departures.add(what)
+	case *Ask:
+		select {
+		case e.in <- Event{at, what}:
+		default:
+			return false
+		}
+	default:
+		e.in <- Event{at, what}
+	}
+	return true
 }
 
-// Post tells the engine of an event; it waits while the engine has too many before it.
-func (e *Engine) Post(at time.Time, what any) { e.in <- Event{at, what} }
+// departures are the requests whose clients have gone. There is at most one for each open request, so that nobody who tells
+// of one ever waits.
+type departures struct {
+	mu   sync.Mutex
+	list []Gone
+	told chan struct{}
+}
+
+func (d *departures) add(g Gone) {
+	d.mu.Lock()
+	d.list = append(d.list, g)
+	d.mu.Unlock()
+	select {
+	case d.told <- struct{}{}:
+	default:
+	}
+}
+
+func (d *departures) take() []Gone {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := d.list
+	d.list = nil
+	return list
+}
 
 // Open is how many views have no final answer yet, those in the queue included as far as they were posted.
 func (e *Engine) Open() int { return int(e.open.Load()) + len(e.in) }
@@ -213,8 +268,14 @@
 	for {
 		select {
 		case ev := <-e.in:
+			e.settleAfterStall()
+			e.depart()
 			e.Handle(time.Since(e.start), ev)
+		case <-e.departures.told:
+			e.depart()
 		case <-timer.C:
+			e.settleAfterStall()
+			e.depart()
 		case <-done:
 			return
 		}
@@ -232,6 +293,25 @@
 	}
 }
 
+// settleAfterStall has readers go first once the process has stood still: what came meanwhile may be a cancel, or an answer
+// of a server that would else be taken for silent.
+func (e *Engine) settleAfterStall() {
+	if !e.watch.Settle() {
+		return
+	}
+	e.depart()
+	for range len(e.in) {
+		e.Handle(time.Since(e.start), <-e.in)
+	}
+}
+
+// depart takes the requests whose clients have gone.
+func (e *Engine) depart() {
+	for _, g := range e.departures.take() {
+		e.Handle(time.Since(e.start), Event{What: g})
+	}
+}
+
 // Start begins the router's life; it comes before anything else.
 func (e *Engine) Start(now time.Duration) {
 	e.now = now
@@ -296,6 +376,11 @@
 }
 
 func (e *Engine) ask(a *Ask) {
+	if !a.Guard.Open() { // its client has gone while it waited here
+		e.counts.Views++
+		e.counts.Gone++
+		return
+	}
 	v := &view{ask: a, end: min(e.stop, a.At.Sub(e.start)+a.Left), open: true}
 	e.views[a.View] = v
 	e.open.Add(1)
@@ -493,20 +578,28 @@
 }
 
 func (e *Engine) send(v *view, a *rules.Action) {
-	l := &Leg{Ask: v.ask, No: rules.LegNo(len(v.legs)), Node: a.Node, Wait: v.end - e.now, Begin: a.Begin, Age: a.Age, Keep: a.Keep, How: a.How,
-		At: e.wall(), sent: e.now}
+	l := &Leg{Ask: v.ask, No: rules.LegNo(len(v.legs)), Node: a.Node, Deadline: e.start.Add(v.end), Age: a.Age, Keep: a.Keep,
+		How: a.How, At: e.start.Add(e.now), sent: e.now}
+	if a.Begin > 0 {
+		l.NotAfter = e.start.Add(e.now + a.Begin)
+	}
 	if a.Kind == rules.ActionGet && a.Source != a.Node {
 		l.Source = a.Source
 	}
 	v.legs = append(v.legs, l)
 	v.outs++
+	if !v.ask.Guard.Open() { // its client left a moment ago, and the event that says so is on its way
+		e.finish(v, l)
+		e.queue = append(e.queue, rules.Event{Kind: rules.EventLegEnd, View: v.ask.View, Leg: l.No, Node: l.Node, Outcome: rules.Moot})
+		return
+	}
 	if l.Node == rules.Own {
 		e.serve(v, l)
 		return
 	}
 	e.counts.Legs++
-	if a.Limit > 0 && a.Limit < l.Wait {
-		l.Wait = a.Limit
+	if limit := e.start.Add(e.now + a.Limit); a.Limit > 0 && limit.Before(l.Deadline) {
+		l.Deadline = limit
 		heap.Push(&e.timers, timer{at: e.now + a.Limit, view: v.ask.View, leg: l})
 	}
 	e.caches.Send(l)
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"fennelarch/internal/engine"
+	"fennelarch/internal/flightrec"
+	"fennelarch/internal/guard"
 	"fennelarch/internal/limits"
 	"fennelarch/internal/resp"
 	"fennelarch/internal/system"
@@ -85,7 +87,13 @@
 func (l listener) Accept() (net.Conn, error) {
 	s := l.server
 	for {
+		begun := time.Now()
 		up, err := l.Listener.Accept()
+		now := time.Now()
+		came := s.guard.Watch().Earliest(s.accepted, begun, now)
+		if err == nil {
+			s.accepted = now
+		}
 		switch {
 		case err != nil && system.Exhausted(err):
 			if c := s.overflow(l.Listener); c != nil {
@@ -100,19 +108,20 @@
 		}
 		s.spare.hold()
 		s.tell(admission.Event{Kind: admission.EventAccepted})
-		if c := s.arrive(up); c != nil {
+		if c := s.arrive(up, came); c != nil {
 			return c, nil
 		}
 	}
 }
 
-func (s *Server) arrive(up net.Conn) *conn {
+func (s *Server) arrive(up net.Conn, came time.Time) *conn {
 	ip, err := netip.ParseAddrPort(up.RemoteAddr().String())
 	if err != nil {
 		_ = up.Close()
 		return nil
 	}
 	c := newConn(s, up)
+	c.empty = came
 	s.mu.Lock()
 	s.last++
 	c.id = s.last
@@ -120,10 +129,12 @@
 	s.mu.Unlock()
 	a, _ := s.tell(admission.Event{Kind: admission.EventArrive, Conn: c.id, Peer: admission.Address(ip.Addr().As16()), TLS: s.keys != nil})
 	if a.Kind == admission.Take {
+		s.guard.Record(flightrec.Entry{Event: flightrec.ConnectionAccepted, ID: uint64(c.id)})
 		c.counts.Store(true)
 		s.live.Add(1)
 		return c
 	}
+	s.guard.CloseClient(uint64(c.id), guard.CloseTurnedAway, 0)
 	s.mu.Lock()
 	delete(s.conns, c.id)
 	s.mu.Unlock()
@@ -265,7 +276,7 @@
 			}
 			return nil
 		}
-		if c := s.arrive(up); c != nil { // room was made for it
+		if c := s.arrive(up, s.accepted); c != nil { // room was made for it
 			return c
 		}
 	}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"fennelarch/internal/engine"
+	"fennelarch/internal/guard"
 	"fennelarch/internal/limits"
 	"fennelarch/internal/resp"
 	"fennelarch/rules"
@@ -32,6 +33,8 @@
 	writes  []bool
 	due     []time.Duration // by tariff
 	growth  []float64       // seconds for each KB
+	repeats []guard.Repeat  // by tariff
+	guard   *guard.Monitor
 	views   atomic.Uint64
 	held    atomic.Int64 // bytes of answers that wait
 
@@ -80,6 +83,7 @@
 	open    map[engine.Tag]*engine.Ask // by tag
 	waiting []answer                   // nothing of them is in the stream
 	putting int64                      // length of the body that is being put into the stream
+	held    int64                      // bytes of answers that wait, of this session
 	closed  bool
 	good    bool  // the view that is being shut was served
 	back    bool  // or turned back
@@ -116,8 +120,9 @@
 	s.in.Commit(n)
 }
 
-// parse takes the whole messages that have come. Of a connection that is over, none: its client has gone.
-func (s *session) parse(now time.Time) error {
+// parse takes the whole messages that have come, at a moment or after it. Of a connection that is over, none: its client has
+// gone.
+func (s *session) parse(now, came time.Time) error {
 	for !s.closed && !s.full() {
 		args, err := s.dec.Next(&s.in)
 		if err == nil && args != nil {
@@ -125,7 +130,7 @@
 				s.asked = true
 				s.admits(admission.Event{Kind: admission.EventAsked})
 			}
-			err = s.command(args, now)
+			err = s.command(args, came)
 		}
 		if err != nil {
 			s.refuse()
@@ -156,7 +161,27 @@
 		}
 		number, err := strconv.ParseUint(string(args[1]), 10, 64)
 		if _, open := s.open[engine.Tag(number)]; open && err == nil {
-			s.leave(engine.Tag(number))
+			s.leave(engine.Tag(number), guard.EndCancelled)
+		}
+	}
+}
+
+// stale says whether a request is about to be handed on that came so long ago that its client may have taken it back, or left,
+// behind it.
+func (s *session) stale(now time.Time) bool {
+	return slices.ContainsFunc(s.events, func(e any) bool {
+		a, is := e.(*engine.Ask)
+		return is && now.Sub(a.At) > s.shared.limits.Stale
+	})
+}
+
+// refuseStale refuses what came so long ago that it may have been taken back where nobody has looked yet: nothing of it has been
+// sent, so that trying again is harmless.
+func (s *session) refuseStale(now time.Time) {
+	for _, e := range slices.Clone(s.events) {
+		if a, is := e.(*engine.Ask); is && now.Sub(a.At) > s.shared.limits.Stale {
+			s.events = slices.DeleteFunc(s.events, func(e any) bool { return e == any(a) })
+			s.answer(a.Tag, engine.Answer{Verdict: engine.TurnedBack})
 		}
 	}
 }
@@ -172,7 +197,7 @@
 // refuse fails all that is open: the client sent what can't be read, so no answer of its would be known for what it is.
 func (s *session) refuse() {
 	for _, tag := range slices.Sorted(maps.Keys(s.open)) {
-		s.leave(tag)
+		s.leave(tag, guard.EndFailed)
 		s.fail(strconv.FormatUint(uint64(tag), 10))
 	}
 }
@@ -182,7 +207,7 @@
 
 // command takes one frame. What cannot be used gets an answer under its tag; without a tag, or under one that is open,
 // none could be told from another.
-func (s *session) command(args [][]byte, now time.Time) error {
+func (s *session) command(args [][]byte, came time.Time) error {
 	if len(args) < 2 || len(args[1]) > s.shared.limits.Fields {
 		return resp.ErrFraming
 	}
@@ -214,7 +239,8 @@
 			s.fail(string(args[1]))
 			return nil
 		}
-		a.View, a.Client, a.Tag, a.At = rules.ViewID(s.shared.views.Add(1)), s.client, tag, now
+		a.View, a.Client, a.Tag, a.At = rules.ViewID(s.shared.views.Add(1)), s.client, tag, came
+		a.Guard = s.shared.guard.NewRequest(uint64(a.Ident), came.Add(a.Left), s.shared.repeats[a.Tariff])
 		s.open[tag] = a
 		s.events = append(s.events, a)
 	default:
@@ -226,24 +252,47 @@
 // undo gives a view up; an answer of which nothing is in the stream yet is taken back.
 func (s *session) undo(tag engine.Tag) {
 	if _, open := s.open[tag]; open {
-		s.leave(tag)
+		s.leave(tag, guard.EndCancelled)
 		return
 	}
 	text := strconv.FormatUint(uint64(tag), 10)
 	s.waiting = slices.DeleteFunc(s.waiting, func(w answer) bool {
 		if w.tag == text {
-			s.shared.held.Add(-int64(len(w.body)))
+			s.hold(-len(w.body))
 		}
 		return w.tag == text
 	})
 }
 
-// leave gives an open view up: no answer of the engine's is waited for.
-func (s *session) leave(tag engine.Tag) {
-	s.events = append(s.events, engine.Gone{View: s.open[tag].View})
+// leave gives an open view up: no answer of the engine's is waited for. One that was not handed on yet never is.
+func (s *session) leave(tag engine.Tag, why guard.EndReason) {
+	a := s.open[tag]
+	a.Guard.End(why, time.Now())
+	if i := slices.IndexFunc(s.events, func(e any) bool { return e == any(a) }); i >= 0 {
+		s.events = slices.Delete(s.events, i, i+1)
+	} else {
+		s.events = append(s.events, engine.Gone{View: a.View})
+	}
 	s.shut(tag)
 }
 
+// hold counts bytes of answers that wait, or no longer do.
+func (s *session) hold(bytes int) {
+	s.held += int64(bytes)
+	s.shared.held.Add(int64(bytes))
+}
+
+// fits says whether there is memory for an answer that waits. The last part of it is for clients of which next to nothing waits: one
+// that does not read must not cost others their answers.
+func (s *session) fits(bytes int) bool {
+	l := &s.shared.limits
+	total := s.shared.held.Load() + int64(bytes)
+	return total <= l.Answers-l.Answers/reservedPart || total <= l.Answers && s.held+int64(bytes) <= int64(l.Object)
+}
+
+// reservedPart is the part of the memory for answers that is kept for clients that read.
+const reservedPart = 8
+
 func (s *session) shut(tag engine.Tag) {
 	a := s.open[tag]
 	late := time.Since(a.At) > s.shared.due[a.Tariff]+time.Duration(a.KB*s.shared.growth[a.Tariff]*float64(time.Second))
@@ -354,15 +403,17 @@
 	if _, open := s.open[tag]; !open {
 		return
 	}
+	fits := s.fits(len(a.Body))
+	s.open[tag].Guard.End(endOf(a, fits), time.Now())
 	s.good, s.back = a.Verdict == engine.Succeeded, a.Verdict == engine.TurnedBack
 	s.shut(tag)
 	w := answer{tag: strconv.FormatUint(uint64(tag), 10), word: "FAILED"}
 	switch {
 	case a.Verdict == engine.Succeeded && a.Unchanged:
 		w.word, w.fields = "OK", "unchanged=1"
-	case a.Verdict == engine.Succeeded && s.shared.held.Load()+int64(len(a.Body)) <= s.shared.limits.Answers:
+	case a.Verdict == engine.Succeeded && fits:
 		w.word, w.body = "OK", a.Body
-		s.shared.held.Add(int64(len(a.Body)))
+		s.hold(len(a.Body))
 	case a.Verdict == engine.TurnedBack:
 		s.busy(w.tag, a.Wait)
 		return
@@ -370,6 +421,17 @@
 	s.say(w)
 }
 
+// endOf is how a view ends by an answer.
+func endOf(a engine.Answer, fits bool) guard.EndReason {
+	switch {
+	case a.Verdict == engine.Succeeded && (fits || a.Unchanged):
+		return guard.EndServed
+	case a.Verdict == engine.TurnedBack:
+		return guard.EndRefused
+	}
+	return guard.EndFailed
+}
+
 // busy turns a view back, and says when to return where that is known.
 func (s *session) busy(tag string, wait time.Duration) {
 	w := answer{tag: tag, word: "BUSY"}
@@ -384,7 +446,7 @@
 
 // more begins the next answer; the body of the last one is in.
 func (s *session) more() bool {
-	s.shared.held.Add(-s.putting)
+	s.hold(int(-s.putting))
 	s.putting = 0
 	if len(s.waiting) == 0 {
 		return false
@@ -405,12 +467,12 @@
 func (s *session) over() {
 	s.closed = true
 	for _, tag := range slices.Sorted(maps.Keys(s.open)) {
-		s.leave(tag)
+		s.leave(tag, guard.EndClientLeft)
 	}
 	for _, w := range s.waiting {
 		s.putting += int64(len(w.body))
 	}
-	s.shared.held.Add(-s.putting)
+	s.hold(int(-s.putting))
 	s.waiting, s.putting = nil, 0
 }
 
@@ -421,10 +483,24 @@
 	s.out.Release()
 	if s.in.Len() > 0 {
 		s.refuse()
+		s.refuseHalf()
 	}
 	return s.in.Len() > 0 || s.idle()
 }
 
+// refuseHalf refuses a request of which only a part has come, if that tells its tag: its last bytes may be on their way, and
+// nobody would answer them any more.
+func (s *session) refuseHalf() {
+	args := s.dec.Partial(&s.in)
+	if len(args) < 2 || string(args[0]) != "DO" || len(args[1]) > s.shared.limits.Fields {
+		return
+	}
+	number, err := strconv.ParseUint(string(args[1]), 10, 64)
+	if _, open := s.open[engine.Tag(number)]; err == nil && number > 0 && !open {
+		s.busy(string(args[1]), 0)
+	}
+}
+
 // take hands over what the client wants.
 func (s *session) take() []any {
 	events := s.events
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -18,7 +18,6 @@
 	NodeConns int // connections to one node
 	Redials   int // times that a connection is tried again for which there was no descriptor
 	Streams   int // legs open on one of them
-	Copied    int // answers on one of them of which a second copy is told from the answer to a further leg
 
 	// Frames and rings, in bytes. Rings grow to these only where they are needed.
 	Strings   int           // strings in a frame
@@ -50,6 +49,9 @@
 	Polite      time.Duration // for each half of turning a connection back, and for what crosses an end
 	Watch       time.Duration // how often it is looked for clients that leave while their input is held: some times within 0.1 s
 	Stuck       time.Duration // until a peer that reads nothing is cut off
+	Frame       time.Duration // until a request to a server that has begun to be written must be whole, or never becomes so
+	Stale       time.Duration // a client's request that is older when it is read may have been cancelled behind it
+	Behind      time.Duration // how long it is then looked for what stands behind it
 	StoreSilent time.Duration // until a store of which nothing is heard is cut off
 	Begin       time.Duration // until a leg is on its way, or never goes: the rules count a send from its first byte
 	BeginLate   time.Duration // the same to or from a node that is told to leave
@@ -97,12 +99,12 @@
 	}
 	return Limits{
 		Cores: t.Cores, Memory: int64(t.MemoryMB) << 20, Sockets: t.Sockets,
-		Clients: t.Sockets * 2 / 5, Turned: t.Sockets / 32, Nodes: t.Sockets * 2 / 5, NodeConns: t.Sockets / 8, Redials: 4, Streams: streams, Copied: 32,
+		Clients: t.Sockets * 2 / 5, Turned: t.Sockets / 32, Nodes: t.Sockets * 2 / 5, NodeConns: t.Sockets / 8, Redials: 4, Streams: streams,
 		Strings: 8, Request: 48_000, Object: 240_000, Fields: 1 << 10, KB: 1e9, Timeout: 2*t.LongestHard + time.Second,
 		ClientIn: 64 << 10, ClientOut: 32 << 10, NodeIn: 256 << 10, NodeOut: 64 << 10,
 		Copies: t.MemoryMB << 20 / 4, Answers: int64(t.MemoryMB) << 20 / 6, Events: 4 << 20,
 		Open: 32, Waiting: 64, Queue: 4096, Lines: 1024,
-		Connect: t.Connect, Slow: t.Connect / 8, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, Polite: 150 * time.Millisecond, Watch: 20 * time.Millisecond, StoreSilent: time.Second,
+		Connect: t.Connect, Slow: t.Connect / 8, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, Frame: 100 * time.Millisecond, Stale: 50 * time.Millisecond, Behind: time.Millisecond, Polite: 150 * time.Millisecond, Watch: 20 * time.Millisecond, StoreSilent: time.Second,
 		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
 		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Halt: 500 * time.Millisecond, Page: 4 * time.Second, Dial: time.Second, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
 		Pause: 5 * time.Millisecond,
--- a/internal/resp/frame.go
+++ b/internal/resp/frame.go
@@ -70,6 +70,20 @@
 	return args, nil
 }
 
+// Partial returns the strings that are whole of a frame that is not: they tell whose it is. They hold until the ring changes.
+func (d *Decoder) Partial(r *Ring) (args [][]byte) {
+	count, at, err := head(r, 0, '*', d.Args)
+	for ; at > 0 && err == nil && count > 0; count-- {
+		length, used, failed := head(r, at, '$', d.Size)
+		if used == 0 || failed != nil || at+used+length+len("\r\n") > r.Len() {
+			break
+		}
+		at += used + length + len("\r\n")
+		args = append(args, r.First(at)[at-length-len("\r\n"):at-len("\r\n")])
+	}
+	return args
+}
+
 // head reads the line at a place that announces a length; used is 0 while it is not whole.
 func head(r *Ring, at int, sign byte, most int) (n, used int, err error) {
 	if at >= r.Len() {
--- a/internal/store/carrier.go
+++ b/internal/store/carrier.go
@@ -268,7 +268,7 @@
 	c.legs[l] = c.last
 	t := &c.set.Tariffs[a.Tariff]
 	e := decide.Event{Kind: decide.EventAsk, Op: c.last, Node: id, Object: a.Object, Part: a.Part, Group: a.Group,
-		Held: l.How&rules.HowHoldsOnly != 0, Due: c.due(a, t), Left: l.Wait, Age: l.Age}
+		Held: l.How&rules.HowHoldsOnly != 0, Due: c.due(a, t), Left: time.Until(l.Deadline), Age: l.Age}
 	if !relay {
 		e.Source = l.Source
 	}
@@ -549,7 +549,7 @@
 func (c *Carrier) fill(a *decide.Action, o *op) {
 	ask := *o.leg.Ask
 	ask.Have = "" // the store needs the bytes
-	l := &engine.Leg{Ask: &ask, No: o.leg.No, Node: o.leg.Source, Wait: o.leg.Wait - time.Since(o.sent()), Age: a.Age,
+	l := &engine.Leg{Ask: &ask, No: o.leg.No, Node: o.leg.Source, Deadline: o.leg.Deadline, NotAfter: o.leg.NotAfter, Age: a.Age,
 		How: o.leg.How &^ (rules.HowRenew | rules.HowCopy | rules.HowHoldsOnly)}
 	if c.kinds[l.Node] == c.set.ParentKind && o.leg.How&rules.HowHoldsOnly == 0 {
 		l.Source = c.origin
