--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,6 +15,7 @@
 
 	"fennelarch/internal/guard"
 	"fennelarch/internal/stall"
+	"fennelarch/internal/system"
 	"fennelarch/rules"
 )
 
@@ -194,6 +195,8 @@
 	stop    time.Duration // no view lasts longer
 	watch   *stall.Watch
 
+	wallClock func() time.Time // the time of day
+
 	departures departures
 	open       atomic.Int64
 	lag        atomic.Int64 // that the last event had
@@ -204,7 +207,8 @@
 	set.OwnRoom = own.Room()
 	return &Engine{in: make(chan Event, queue), router: rules.New(set, seed), set: set, caches: caches, copies: newCopies(own), log: log,
 		start: start,
-		stop:  math.MaxInt64, views: map[rules.ViewID]*view{}, departures: departures{told: make(chan struct{}, 1)}}
+		stop:  math.MaxInt64, views: map[rules.ViewID]*view{}, departures: departures{told: make(chan struct{}, 1)},
+		wallClock: system.WallClock}
 }
 
 // Watched has the engine let readers go first just after a stall of the process.
