Stamps become spans of real time when they are received, and every doubt makes them stricter

Cause: Engine.list and the purge event subtracted stamps from the wall clock of the process's start; copies compared stamps with that clock, or with each other; in rules/store the epoch never moved.

A start is pinned to its first reading. Copies compare with purges by monotonic time and by their stamps, and must pass both. The shared store's ledger starts anew at a step, and a copy stamped in the future proves nothing. A failed handshake is logged by the process's own seconds.

Ruled out: admission and the engine's timers use time.Since; TLS tickets that a step expires cost a full handshake.

Tests changed: the traces of rules/store begin at 5 s instead of 1 s, since their copies were stamped 2 s in the future, which now proves nothing; TestCopies gives ages as spans, with the same cases.

Left: a store's copies from before a step back, read by a router that started after it, once the clock has passed their stamps again; a copy kept for less than the step is not affected.

--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -72,7 +72,7 @@
 	pool := back.New(lim, c.Names, c.Rules.Reports == rules.ViaProbe, stores.inner(post), log)
 	eng = engine.New(c.Rules, c.Seed, lim.Queue, start, stores.over(pool),
 		engine.Own{Bytes: lim.Copies, Flow: c.Flow, Link: c.Link, Forget: lim.Forget}, log)
-	eng.Watched(monitor.Watch())
+	eng.Guarded(monitor, stores.stepped)
 	eng.Start(0)
 	doors, err := newDoors(own, c)
 	if err != nil {
--- a/cmd/fennelarch/stores.go
+++ b/cmd/fennelarch/stores.go
@@ -82,6 +82,12 @@
 	}
 }
 
+func (s stores) stepped(by time.Duration) {
+	if s.Carrier != nil {
+		s.Stepped(by)
+	}
+}
+
 func (s stores) run(ctx context.Context) {
 	if s.Carrier != nil {
 		s.Run(ctx)
--- a/internal/engine/clock_test.go
+++ b/internal/engine/clock_test.go
@@ -12,10 +12,15 @@
 // stepped is a rig whose wall clock has been set by so much.
 func stepped(by time.Duration, own ...Own) *watcher {
 	w := newWatcher(nil, "", own...)
-	w.wallClock = func() time.Time { return w.start.Add(w.at + by).Round(0) }
+	w.setClock(by)
 	return w
 }
 
+// setClock sets the wall clock by so much.
+func (w *watcher) setClock(by time.Duration) {
+	w.stamps.read = func() (time.Duration, time.Time) { return w.at, w.start.Add(w.at + by).Round(0) }
+}
+
 // startOf is when the engine takes a server to have started, before now.
 func (w *watcher) startOf(boot time.Time) (ago time.Duration) {
 	w.tell(List{Nodes: []Node{{Member: rules.Member{Node: 9, State: rules.Ready, Weight: 1}, Boot: boot.Round(0)}}})
@@ -61,7 +66,7 @@
 			w.view(1, 0, 2*time.Second)
 			w.tell(LegEnd{Leg: w.legs[0], Outcome: rules.Succeeded, Note: rules.NoteHit, Body: []byte("bytes"), Sum: "tag",
 				Born: w.start.Add(w.at + theirs).Round(0)})
-			w.wallClock = func() time.Time { return w.start.Add(w.at + step).Round(0) }
+			w.setClock(step)
 			w.pass(time.Second)
 			if step == 0 && w.ownCopy(ask, time.Minute) == nil {
 				t.Error("a copy is lost without any step")
@@ -86,4 +91,6 @@
 	}
 }
 
-func (w *watcher) ownCopy(a *Ask, oldest time.Duration) *ownCopy { return w.copies.find(a, oldest, w.wall()) }
+func (w *watcher) ownCopy(a *Ask, oldest time.Duration) *ownCopy {
+	return w.copies.find(a, oldest, w.now)
+}
--- a/internal/engine/copies.go
+++ b/internal/engine/copies.go
@@ -41,12 +41,14 @@
 	group rules.GroupID
 	body  []byte
 	sum   string
-	born  time.Time
+	born  time.Time     // as stamped
+	since time.Duration // when it can be born at the earliest
 }
 
 type toldPurge struct {
 	Purge
-	told time.Time
+	told  time.Duration
+	until time.Duration // whatever is born by then is hit
 }
 
 type copies struct {
@@ -62,13 +64,13 @@
 	return &copies{own: o, byKey: map[copyKey]*list.Element{}, free: make([]time.Duration, max(1, int(o.Room())))}
 }
 
-// keep takes a copy, unless it is older than a purge.
-func (c *copies) keep(a *Ask, end *LegEnd, now time.Time) {
-	n := ownCopy{key: copyKey{a.Object, a.Part}, group: a.Group, body: end.Body, sum: end.Sum, born: end.Born}
-	c.purges = slices.DeleteFunc(c.purges, func(p toldPurge) bool { return now.Sub(p.told) > c.own.Forget })
+// keep takes a copy that was born at some time since a moment, unless it may be older than a purge.
+func (c *copies) keep(a *Ask, end *LegEnd, now, since time.Duration) {
+	n := ownCopy{key: copyKey{a.Object, a.Part}, group: a.Group, body: end.Body, sum: end.Sum, born: end.Born, since: since}
+	c.purges = slices.DeleteFunc(c.purges, func(p toldPurge) bool { return now-p.told > c.own.Forget })
 	size := len(n.body) + overhead
 	if len(n.body) == 0 || end.Born.IsZero() || size > c.own.Bytes ||
-		slices.ContainsFunc(c.purges, func(p toldPurge) bool { return n.purged(p.Purge) }) {
+		c.hitByPurge(&n) {
 		return
 	}
 	c.drop(c.byKey[n.key])
@@ -87,16 +89,23 @@
 	}
 }
 
-// purged says whether the copy is older than a purge of it.
-func (o *ownCopy) purged(p Purge) bool {
-	return (p.Object == o.key.object || p.Object == 0 && p.Group == o.group) && !o.born.After(p.Issued)
+// purged says whether the copy may be older than a purge of it, by its stamp or by the time that has passed.
+func (o *ownCopy) purged(p *toldPurge) bool {
+	return (p.Object == o.key.object || p.Object == 0 && p.Group == o.group) && (!o.born.After(p.Issued) || o.since <= p.until)
 }
 
-func (c *copies) purge(p Purge, now time.Time) {
-	c.purges = append(c.purges, toldPurge{p, now})
+// hitByPurge says whether the copy may be older than a purge that was told lately.
+func (c *copies) hitByPurge(o *ownCopy) bool {
+	return slices.ContainsFunc(c.purges, func(p toldPurge) bool { return o.purged(&p) })
+}
+
+// purge drops what may have been born by the time of a purge that is told now.
+func (c *copies) purge(p Purge, now, until time.Duration) {
+	told := toldPurge{p, now, until}
+	c.purges = append(c.purges, told)
 	for e := c.used.Front(); e != nil; {
 		next := e.Next()
-		if e.Value.(*ownCopy).purged(p) {
+		if e.Value.(*ownCopy).purged(&told) {
 			c.drop(e)
 		}
 		e = next
@@ -104,13 +113,13 @@
 }
 
 // find returns a copy no older than so, 0 for any age.
-func (c *copies) find(a *Ask, oldest time.Duration, now time.Time) *ownCopy {
+func (c *copies) find(a *Ask, oldest, now time.Duration) *ownCopy {
 	e := c.byKey[copyKey{a.Object, a.Part}]
 	if e == nil {
 		return nil
 	}
 	o := e.Value.(*ownCopy)
-	if oldest > 0 && now.Sub(o.born) > oldest {
+	if oldest > 0 && now-o.since > oldest {
 		return nil
 	}
 	c.used.MoveToFront(e)
--- a/internal/engine/crossing_test.go
+++ b/internal/engine/crossing_test.go
@@ -136,7 +136,7 @@
 		func(w *watcher) { w.tell(Purge{Object: 7, Issued: w.start.Add(w.at)}) },
 		func(w *watcher) {
 			a := &Ask{Object: 8, Left: time.Second}
-			w.copies.keep(a, &LegEnd{Body: make([]byte, 900), Sum: "other", Born: w.start.Add(w.at)}, w.start.Add(w.at))
+			w.copies.keep(a, &LegEnd{Body: make([]byte, 900), Sum: "other", Born: w.start.Add(w.at)}, w.at, w.at)
 		},
 		func(w *watcher) { w.tell(Gone{2}) },
 	} {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,9 +13,8 @@
 
 	"go.uber.org/zap"
 
+	"fennelarch/internal/flightrec"
 	"fennelarch/internal/guard"
-	"fennelarch/internal/stall"
-	"fennelarch/internal/system"
 	"fennelarch/rules"
 )
 
@@ -193,9 +192,9 @@
 	members []rules.Member
 	counts  Counts
 	stop    time.Duration // no view lasts longer
-	watch   *stall.Watch
-
-	wallClock func() time.Time // the time of day
+	monitor *guard.Monitor
+	stamps  stamps
+	started map[rules.NodeID]stampedStart
 
 	departures departures
 	open       atomic.Int64
@@ -208,11 +207,34 @@
 	return &Engine{in: make(chan Event, queue), router: rules.New(set, seed), set: set, caches: caches, copies: newCopies(own), log: log,
 		start: start,
 		stop:  math.MaxInt64, views: map[rules.ViewID]*view{}, departures: departures{told: make(chan struct{}, 1)},
-		wallClock: system.WallClock}
+		stamps: newStamps(start, stampsMatter(&set)), started: map[rules.NodeID]stampedStart{}}
+}
+
+// Guarded has the engine let readers go first just after a stall of the process, and tell a monitor of what must not be.
+// Where the wall clock steps, others are told of it too.
+func (e *Engine) Guarded(m *guard.Monitor, stepped func(by time.Duration)) {
+	e.monitor = m
+	e.stamps.onStep = func(by time.Duration) {
+		stepped(by)
+		m.Record(flightrec.Entry{Event: flightrec.ClockStepped, Value: by.Milliseconds()})
+		e.log.Warn("the wall clock stepped", zap.Duration("by", by))
+	}
+}
+
+// stampsMatter is how long anything that is stamped matters: while a server is cold, a purge unfinished, a copy fresh.
+func stampsMatter(set *rules.Settings) time.Duration {
+	longest := max(set.ColdFor, set.ParentColdFor, set.PurgeDone)
+	for i := range set.Tariffs {
+		longest = max(longest, set.Tariffs[i].Fresh+set.Tariffs[i].Grace)
+	}
+	return longest + time.Minute
 }
 
-// Watched has the engine let readers go first just after a stall of the process.
-func (e *Engine) Watched(w *stall.Watch) { e.watch = w }
+// stampedStart is when a server started, by a stamp that was told of it.
+type stampedStart struct {
+	stamp time.Time
+	at    time.Duration
+}
 
 // Post tells the engine of an event. A request is not taken where too many events are before it: its client's connection
 // must go on being read, or a cancel behind it would not be seen. That a client has gone is always taken, at once; all else
@@ -300,7 +322,7 @@
 // settleAfterStall has readers go first once the process has stood still: what came meanwhile may be a cancel, or an answer
 // of a server that would else be taken for silent.
 func (e *Engine) settleAfterStall() {
-	if !e.watch.Settle() {
+	if !e.monitor.Watch().Settle() {
 		return
 	}
 	e.depart()
@@ -341,9 +363,7 @@
 	case List:
 		e.list(what)
 	case Purge:
-		e.copies.purge(what, e.wall())
-		e.tell(&rules.Event{Kind: rules.EventPurge, Object: what.Object, Group: what.Group,
-			Ago: max(0, e.now-what.Issued.Sub(e.start))})
+		e.purge(what)
 	case Gone:
 		if v := e.views[what.View]; v != nil && v.open {
 			e.counts.Gone++
@@ -363,6 +383,7 @@
 // Tick does what has fallen due by now.
 func (e *Engine) Tick(now time.Duration) {
 	e.now = max(now, e.now)
+	e.stamps.look(e.now)
 	for len(e.timers) > 0 && e.timers[0].at <= e.now {
 		t := heap.Pop(&e.timers).(timer)
 		switch {
@@ -399,12 +420,10 @@
 	e.members = e.members[:0]
 	for _, n := range l.Nodes {
 		m := n.Member
-		m.Started = rules.LongAgo
-		if !n.Boot.IsZero() {
-			m.Started = n.Boot.Sub(e.start)
-		}
+		m.Started = e.startOf(&n)
 		e.members = append(e.members, m)
 	}
+	e.monitor.Record(flightrec.Entry{Event: flightrec.ListReceived, Value: int64(len(l.Nodes))})
 	ev := rules.Event{Kind: rules.EventList, List: rules.ListChanges, Members: e.members}
 	if l.All {
 		ev.List = rules.ListFull
@@ -412,6 +431,31 @@
 	e.tell(&ev)
 }
 
+// startOf is when a server started, never later than now. The same stamp told again means the same moment.
+func (e *Engine) startOf(n *Node) time.Duration {
+	if n.Boot.IsZero() || n.State == rules.Gone {
+		delete(e.started, n.Node)
+		return rules.LongAgo
+	}
+	if known, told := e.started[n.Node]; told && known.stamp.Equal(n.Boot) {
+		return known.at
+	}
+	least, _, _ := e.stamps.age(n.Boot, e.now)
+	e.started[n.Node] = stampedStart{n.Boot, e.now - least}
+	return e.now - least
+}
+
+// purge takes a purge that was told. One without a stamp was issued a moment ago.
+func (e *Engine) purge(p Purge) {
+	e.monitor.Record(flightrec.Entry{Event: flightrec.PurgeReceived, ID: uint64(p.Object), Value: int64(p.Group)})
+	ago := time.Duration(0)
+	if p.Issued.Unix() > 0 {
+		ago, _, _ = e.stamps.age(p.Issued, e.now)
+	}
+	e.copies.purge(p, e.now, e.now-ago)
+	e.tell(&rules.Event{Kind: rules.EventPurge, Object: p.Object, Group: p.Group, Ago: ago})
+}
+
 // legEnd takes the end of a leg from its node.
 func (e *Engine) legEnd(end LegEnd, at time.Duration) {
 	l := end.Leg
@@ -423,7 +467,9 @@
 		e.answer(v, Answer{Verdict: Succeeded, Unchanged: end.Same, Body: end.Body})
 	}
 	if end.Outcome == rules.Succeeded && l.How&rules.HowCopy != 0 {
-		e.copies.keep(l.Ask, &end, e.wall())
+		if _, most, believable := e.stamps.age(end.Born, e.now); believable {
+			e.copies.keep(l.Ask, &end, e.now, e.now-most)
+		}
 	}
 	e.finish(v, l)
 	e.tell(&rules.Event{Kind: rules.EventLegEnd, View: l.Ask.View, Leg: l.No, Node: l.Node, Outcome: end.Outcome, Note: end.Note,
@@ -431,9 +477,6 @@
 	e.forget(v)
 }
 
-// wall is the time by the Unix clock.
-func (e *Engine) wall() time.Time { return e.start.Add(e.now) }
-
 // serve answers from the router's own copies. The leg ends when its bytes are through.
 func (e *Engine) serve(v *view, l *Leg) {
 	a := v.ask
@@ -441,7 +484,7 @@
 	if oldest == 0 {
 		oldest = e.set.Tariffs[a.Tariff].Fresh
 	}
-	c := e.copies.find(a, oldest, e.wall())
+	c := e.copies.find(a, oldest, e.now)
 	if c == nil {
 		e.finish(v, l)
 		e.queue = append(e.queue, rules.Event{Kind: rules.EventLegEnd, View: a.View, Leg: l.No, Node: l.Node, Outcome: rules.Missed})
@@ -453,6 +496,9 @@
 		size /= unchanged
 	}
 	e.counts.Own++
+	if e.copies.hitByPurge(c) {
+		e.monitor.Violate(guard.StaleCopyServed, uint64(a.Ident))
+	}
 	e.answer(v, answer)
 	e.queue = append(e.queue, rules.Event{Kind: rules.EventStream, View: a.View, Leg: l.No, Node: l.Node})
 	heap.Push(&e.timers, timer{at: e.copies.send(e.now, size), view: a.View, leg: l})
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -32,6 +32,7 @@
 			{Due: 700 * time.Millisecond, Hard: 3 * time.Second, Payoff: 3, Effect: rules.OneShot, Write: true}}}
 	r := &rig{start: time.Now(), tried: true}
 	r.Engine = New(set, 1, 16, r.start, r, append(own, Own{})[0], zap.NewNop())
+	r.stamps.read = func() (time.Duration, time.Time) { return r.at, r.start.Add(r.at).Round(0) }
 	r.Start(0)
 	var nodes []Node
 	for kind, id := range []rules.NodeID{cache, parent, origin} {
@@ -223,10 +224,11 @@
 // Copies keep to their bound, the least lately used go first, and one from before a purge is not taken after it.
 func TestCopies(t *testing.T) {
 	c := newCopies(Own{Bytes: 3 * (1000 + overhead), Flow: 1000, Link: 2500, Forget: 10 * time.Second})
-	now := time.Now()
+	now, start := time.Hour, time.Now()
 	ask := func(o rules.ObjectID) *Ask { return &Ask{Object: o, Group: rules.GroupID(o % 2)} }
-	keep := func(o rules.ObjectID, born time.Time) {
-		c.keep(ask(o), &LegEnd{Body: make([]byte, 1000), Born: born}, now)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	keep := func(o rules.ObjectID, born time.Duration) {
+		c.keep(ask(o), &LegEnd{Body: make([]byte, 1000), Born: at(born)}, now, born)
 	}
 	for o := range rules.ObjectID(3) {
 		keep(o+1, now)
@@ -237,19 +239,19 @@
 	if c.find(ask(1), 0, now) == nil || c.find(ask(2), 0, now) != nil || c.held > c.own.Bytes || c.used.Len() != 3 {
 		t.Errorf("%d copies, %d bytes", c.used.Len(), c.held)
 	}
-	if c.find(ask(1), time.Second, now.Add(2*time.Second)) != nil {
+	if c.find(ask(1), time.Second, now+2*time.Second) != nil {
 		t.Error("a copy too old was given")
 	}
-	told := now.Add(time.Minute)
-	c.purge(Purge{Group: 1, Issued: now}, told)
-	keep(1, now.Add(-time.Second))
+	told := now + time.Minute
+	c.purge(Purge{Group: 1, Issued: at(now)}, told, now)
+	keep(1, now-time.Second)
 	if c.find(ask(1), 0, now) != nil || c.find(ask(3), 0, now) != nil || c.find(ask(4), 0, now) == nil {
 		t.Error("a purge of a group took others, or not all")
 	}
-	if keep(1, now.Add(time.Millisecond)); c.find(ask(1), 0, now) == nil {
+	if keep(1, now+time.Millisecond); c.find(ask(1), 0, now) == nil {
 		t.Error("a copy from after the purge was not kept")
 	}
-	if keep(5, time.Time{}); c.find(ask(5), 0, now) != nil {
+	if c.keep(ask(5), &LegEnd{Body: make([]byte, 1000)}, now, now); c.find(ask(5), 0, now) != nil {
 		t.Error("a copy of unknown age was kept")
 	}
 	for i, want := range []time.Duration{2, 2, 3} { // two places on the link
--- a/internal/front/keys.go
+++ b/internal/front/keys.go
@@ -31,9 +31,11 @@
 // Keys are the keys in force.
 type Keys struct {
 	now  atomic.Pointer[tls.Config]
-	told atomic.Int64 // when a failed handshake was last logged
+	told atomic.Int64 // the second of the process in which a failed handshake was last logged
 }
 
+var processBegan = time.Now()
+
 // LoadKeys reads keys from files.
 func LoadKeys(f Files) (*Keys, error) {
 	k := &Keys{}
@@ -97,7 +99,7 @@
 
 // complain logs a failed handshake, but not one after the other.
 func (k *Keys) complain(log *zap.Logger, err error) {
-	now := time.Now().Unix()
+	now := int64(time.Since(processBegan)/time.Second) + 1 // a wall clock that is set back would silence it
 	if last := k.told.Load(); now > last && k.told.CompareAndSwap(last, now) {
 		log.Info("handshake failed", zap.Error(err))
 	}
--- a/internal/store/carrier.go
+++ b/internal/store/carrier.go
@@ -198,6 +198,13 @@
 	c.keep.Current(decide.Stamp(asOf.UnixMilli()))
 }
 
+// Stepped says that the wall clock was set by so much.
+func (c *Carrier) Stepped(by time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keep.Stepped(c.now(), by)
+}
+
 func (c *Carrier) Gap() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/rules/store/ledger.go
+++ b/rules/store/ledger.go
@@ -147,6 +147,19 @@
 	k.ledger.asOf = max(k.ledger.asOf, k.ledger.since)
 }
 
+// Stepped says that the wall clock was set by so much. What was stamped before and what is stamped from now on cannot be
+// compared: nothing that was stored until now is proved any more, until the clock has passed both readings.
+func (k *Keeper) Stepped(now, by time.Duration) {
+	k.now = max(now, k.now)
+	before := k.wall()
+	k.set.Epoch += Stamp(by / ms)
+	k.ledger.since = max(before, k.wall())
+	k.ledger.asOf = max(k.ledger.asOf, k.ledger.since)
+}
+
+// ahead says whether a copy's stamps lie in the future: a clock has been set back since, and they prove nothing.
+func (k *Keeper) ahead(born, valid Stamp) bool { return max(born, valid) > k.wall()+skew }
+
 // Interval is what a store's ledger says of itself; one without an end has none.
 type Interval struct{ Floor, Seen Stamp }
 
@@ -190,7 +203,7 @@
 	case s.has && !touches(l.since, s.seen) && k.now-s.up < youngFor:
 		return Plan{}
 	}
-	p := Plan{Seen: max(l.asOf, l.since), Upto: l.passed + len(l.marks)}
+	p := Plan{Seen: min(max(l.asOf, l.since), k.wall()+skew), Upto: l.passed + len(l.marks)}
 	s.told = max(s.told, l.passed)
 	p.Marks = l.marks[s.told-l.passed:]
 	if len(p.Marks) > marksAtOnce {
--- a/rules/store/ledger_test.go
+++ b/rules/store/ledger_test.go
@@ -229,3 +229,37 @@
 	// copies of before its start are proved: false
 	// then: true but not one from before a purge: false
 }
+
+// The wall clock is set back or forward by an hour: no copy that was stored before is proved any more, whichever purge came after;
+// what is stored later is, once the clock has passed both readings; and no end is written that lies in the future.
+func TestClockStep(t *testing.T) {
+	for _, by := range []time.Duration{-time.Hour, time.Hour} {
+		k := New(modelSet(0), 1, storeS)
+		k.ledger.since, k.ledger.asOf = epoch, epoch
+		k.Handle(0, &Event{Kind: EventUp, Node: storeS, Run: 1, Age: time.Hour}, nil)
+		now := 10 * time.Minute
+		k.now = now
+		k.Current(epoch + Stamp(now/ms))
+		old := epoch + Stamp((now-time.Minute)/ms)
+		if !k.ledger.proves(modelObject, 0, old, old) || k.ahead(old, old) {
+			t.Fatal("a copy is not proved without any step")
+		}
+		k.Stepped(now, by)
+		if k.wall() != epoch+Stamp((now+by)/ms) {
+			t.Errorf("step %v: the time is %d", by, k.wall()-epoch)
+		}
+		k.Purged(now, Mark{Object: modelObject, Issued: k.wall()})
+		for _, valid := range []Stamp{0, old} {
+			if k.ledger.proves(modelObject, 0, old, valid) && !k.ahead(old, valid) {
+				t.Errorf("step %v: a copy from before a purge is proved", by)
+			}
+		}
+		if p := k.Read(now+youngFor+time.Second, storeS, Interval{}); p.Seen > k.wall()+skew {
+			t.Errorf("step %v: an end is written that lies %d ms ahead", by, p.Seen-k.wall())
+		}
+		k.now = now + time.Hour + time.Minute
+		if born := k.wall(); !k.ledger.proves(modelObject, 0, born, born) || k.ahead(born, born) {
+			t.Errorf("step %v: a copy of after it is never proved", by)
+		}
+	}
+}
--- a/rules/store/store.go
+++ b/rules/store/store.go
@@ -274,7 +274,7 @@
 	case e.Kind == EventGot && e.Reply == ReplyHit:
 		switch {
 		case steps[o.stage][inHit] == (step{}): // the leg needs it no more
-		case e.Born < o.least || !k.ledger.proves(o.key.object, o.group, e.Born, e.Valid):
+		case e.Born < o.least || k.ahead(e.Born, e.Valid) || !k.ledger.proves(o.key.object, o.group, e.Born, e.Valid):
 			k.Counts.Old++
 			k.input(i, inMiss)
 		default:
--- a/rules/store/trace_test.go
+++ b/rules/store/trace_test.go
@@ -24,7 +24,7 @@
 	set := plainSet()
 	set.Epoch = epoch
 	k := New(set, 1, storeS)
-	now := time.Second
+	now := 5 * time.Second // no copy below is stamped later
 	k.Handle(now, &Event{Kind: EventUp, Node: storeS, Run: 1, Age: time.Hour}, nil)
 	for range 20 {
 		k.fillIn.add(40 * ms)
