Starts and reloads outlast what fails for a moment

Cause: serve ended the program at the first error of listen and of reading a file; reload read the configuration, the operator's file and its keys once, and forgot the signal when that failed.

A start tries again for up to 8 s what system.Temporary names (no descriptor, no memory, an address in use, an interrupted call), with one line; a file that makes no sense is looked at again after 0.25 s and ends the start when it says the same. A reload is tried again each 0.1 s while the system has nothing left for it, beside everything else; no such file and no permission are for good. The end of the listener ends the router in order, with exit code 1, instead of leaving it deaf.

Found on the way: the operator's file in force was written by the main goroutine and read by the one that makes summaries; it is an atomic pointer now.

--- a/cmd/fennelarch/doors.go
+++ b/cmd/fennelarch/doors.go
@@ -80,35 +80,26 @@
 }
 
 // reloadOwn reads the operator's file again and returns the one in force.
-func reloadOwn(path string, own *operator.File, c *settings.Config, st stores, server *front.Server, d front.Doors,
-	log *zap.Logger) *operator.File {
-	if path == "" {
-		return own
-	}
-	stays := func(why zap.Field) *operator.File {
-		log.Warn("operator's file stays as it was", why)
-		return own
-	}
+func reloadOwn(path string, own *operator.File, c *settings.Config, st stores, server *front.Server, d front.Doors) (*operator.File, error) {
 	to, err := operator.Load(path)
 	if err != nil {
-		return stays(zap.Error(err))
+		return own, err
 	}
 	if part := own.Frozen(to); part != "" {
-		return stays(zap.String("cannot_change", part))
+		return own, fmt.Errorf("cannot_change while the router runs: %s", part)
 	}
 	set, err := admits(to, c)
 	if err != nil {
-		return stays(zap.Error(err))
+		return own, err
 	}
 	if to.TLS != nil {
 		if err := d.Keys.Load(files(to.TLS)); err != nil {
-			return stays(zap.Error(err))
+			return own, err
 		}
 	}
 	server.Admit(set)
 	st.reload(to, c)
-	log.Info("operator's file read again")
-	return to
+	return to, nil
 }
 
 // doorsSummary tells of connections where the operator's file has anything about them, or where something was turned back.
--- a/cmd/fennelarch/patience_test.go
+++ b/cmd/fennelarch/patience_test.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"errors"
+	"fmt"
+	"io/fs"
 	"net"
 	"os"
 	"os/exec"
@@ -10,6 +13,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 )
 
@@ -109,3 +113,72 @@
 	other.list(false, "ready", b)
 	c.reaches(b)
 }
+
+// What a start or a reload does about each kind of error, in the order in which errors come.
+func TestJudgeErrors(t *testing.T) {
+	busy := fmt.Errorf("open config.json: %w", syscall.ENFILE)
+	half, other := errors.New("line 4: unexpected end"), errors.New("line 9: unexpected end")
+	for name, c := range map[string]struct {
+		errs []error
+		want verdict
+	}{
+		"no descriptor, again and again": {[]error{busy, busy, busy}, tryLater},
+		"half a file":                    {[]error{half}, lookAgain},
+		"a file that still grows":        {[]error{half, other}, lookAgain},
+		"a bad file":                     {[]error{half, half}, giveUp},
+		"a bad file, seen at last":       {[]error{half, busy, half}, giveUp},
+		"no file":                        {[]error{fmt.Errorf("open: %w", fs.ErrNotExist)}, giveUp},
+		"no permission":                  {[]error{fmt.Errorf("open: %w", syscall.EACCES)}, giveUp},
+	} {
+		var r reader
+		var got verdict
+		for _, err := range c.errs {
+			got = r.judge(err)
+		}
+		if got != c.want {
+			t.Errorf("%s: %d, not %d", name, got, c.want)
+		}
+	}
+}
+
+// A start goes on once what it needs can be had; a reload is taken then, too, and one that is refused is not tried again.
+func TestTriedAgain(t *testing.T) {
+	calls := 0
+	begins := newStarter()
+	begins.told = true // no line among the test's
+	err := begins.read(func() error {
+		if calls++; calls < 3 {
+			return syscall.EMFILE
+		}
+		return nil
+	})
+	if err != nil || calls != 3 {
+		t.Errorf("%v after %d calls", err, calls)
+	}
+	begins.until = time.Now()
+	if err := begins.read(func() error { return syscall.EMFILE }); !errors.Is(err, syscall.EMFILE) {
+		t.Errorf("past its patience: %v", err)
+	}
+
+	rereads := newReloads(zap.NewNop())
+	taken, bad := 0, errors.New("line 1: no number")
+	rereads.add("one", func() error {
+		if taken++; taken < 3 {
+			return syscall.EMFILE
+		}
+		return nil
+	})
+	rereads.add("two", func() error { return bad })
+	rereads.begin()
+	for range 10 {
+		due, which := rereads.due()
+		if due == nil {
+			break
+		}
+		<-due
+		rereads.retry(which)
+	}
+	if due, _ := rereads.due(); taken != 3 || due != nil {
+		t.Errorf("taken after %d tries, still waiting: %v", taken, due != nil)
+	}
+}
--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -6,12 +6,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,7 +27,6 @@
 	"fennelarch/internal/limits"
 	"fennelarch/internal/operator"
 	"fennelarch/internal/settings"
-	"fennelarch/internal/system"
 	"fennelarch/rules"
 )
 
@@ -35,11 +36,14 @@
 	signal.Notify(dump, syscall.SIGUSR1)
 	signal.Notify(again, syscall.SIGHUP)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	c, err := settings.Load(os.Getenv)
+	begins := newStarter()
+	var c *settings.Config
+	var own *operator.File
+	err := begins.read(func() (err error) { c, err = settings.Load(os.Getenv); return err })
 	if err != nil {
 		return err
 	}
-	own, err := operator.Load(path)
+	err = begins.read(func() (err error) { own, err = operator.Load(path); return err })
 	if err != nil {
 		return err
 	}
@@ -74,7 +78,8 @@
 		engine.Own{Bytes: lim.Copies, Flow: c.Flow, Link: c.Link, Forget: lim.Forget}, log)
 	eng.Guarded(monitor, stores.stepped)
 	eng.Start(0)
-	doors, err := newDoors(own, c)
+	var doors front.Doors
+	err = begins.read(func() (err error) { doors, err = newDoors(own, c); return err })
 	if err != nil {
 		return err
 	}
@@ -94,31 +99,50 @@
 		return fmt.Errorf("configuration: known: %w", err)
 	}
 
-	ln, err := system.Listen("tcp", c.Listen)
+	ln, err := begins.listen(c.Listen)
 	if err != nil {
 		return err
 	}
+	var inForce atomic.Pointer[operator.File] // it changes while summaries are made
+	inForce.Store(own)
 	done := make(chan struct{}) // never: the engine answers to the last
 	go eng.Run(done, lim.Summary, func(n engine.Counts) {
 		summary(log, n, server.Count(), pool.Count(), monitor)
 		stores.summary(log)
-		doorsSummary(own, server, log)
+		doorsSummary(inForce.Load(), server, log)
 	})
 	go watchStalls(context.Background(), monitor, log)
 	go dumpAtSignal(dump, monitor, c.Name, recorderFolder, log)
 	go stores.run(context.Background())
 	go follower.Run(context.Background(), func(at time.Time, what any) { post(at, stores.told(what)) })
-	go func() { _ = server.Serve(ln) }()
+	deaf := make(chan error, 1) // the listener is never closed while the router runs
+	go func() { deaf <- server.Serve(ln) }()
 	log.Info("started", zap.String("listen", c.Listen), zap.Float64("cores", lim.Cores), zap.Int64("memory", lim.Memory),
 		zap.Int("sockets", lim.Sockets))
 
+	rereads := newReloads(log)
+	rereads.add("configuration", func() error { return reloadConfig(follower, c, log) })
+	if path != "" {
+		rereads.add("operator's file", func() error {
+			to, err := reloadOwn(path, inForce.Load(), c, stores, server, doors)
+			inForce.Store(to)
+			return err
+		})
+	}
+	var failed error
 	for running := true; running; {
+		due, which := rereads.due()
 		select {
 		case <-again:
-			reload(follower, c, log)
-			own = reloadOwn(path, own, c, stores, server, doors, log)
+			rereads.begin()
+		case <-due:
+			rereads.retry(which)
 		case <-stop: // a second order changes nothing
 			running = false
+		case err := <-deaf: // what was taken is owed its answer all the same
+			failed = errors.Join(errDeaf, err)
+			log.Error("the router ends", zap.Error(failed))
+			running = false
 		}
 	}
 	log.Info("stopping", zap.Int("open", eng.Open()))
@@ -130,22 +154,23 @@
 		time.Sleep(lim.Pause)
 	}
 	log.Info("stopped", zap.Int("open", eng.Open()))
-	return nil
+	return failed
 }
 
-// reload takes over from the configuration what may change while the router runs: the bulletin's address. Nothing else of it
+var errDeaf = errors.New("no client can be accepted any more")
+
+// reloadConfig takes over from the configuration what may change while the router runs: the bulletin's address. Nothing else of it
 // acts before the next start, and the log says so where something else has changed.
-func reload(follower *bulletin.Follower, old *settings.Config, log *zap.Logger) {
+func reloadConfig(follower *bulletin.Follower, old *settings.Config, log *zap.Logger) error {
 	c, err := settings.Load(os.Getenv)
 	if err != nil {
-		log.Warn("configuration stays as it was", zap.Error(err))
-		return
+		return err
 	}
-	log.Info("configuration read again")
 	if c.Fixed != old.Fixed {
 		log.Warn("configuration: only the bulletin's address is taken before the next start")
 	}
 	follower.Move(c.Bulletin)
+	return nil
 }
 
 func summary(log *zap.Logger, n engine.Counts, clients, nodes int, monitor *guard.Monitor) {
