--- a/cmd/fennelarch/patience_test.go
+++ b/cmd/fennelarch/patience_test.go
@@ -182,3 +182,29 @@
 		t.Errorf("taken after %d tries, still waiting: %v", taken, due != nil)
 	}
 }
+
+// Events of the configuration that can't be read cost themselves, not the start: the rest is told by the bulletin.
+func TestUnreadableKnownEvents(t *testing.T) {
+	for _, known := range []string{`{"no":2,"items":[{"no":1,"roster":{"targets":7}},{"no":2,"recall":{"item":"x"}}]}`, `{"no":"two"}`, `[]`, `null`} {
+		f := &fleet{t: t, board: newBoard(t), listen: freeAddress(t), config: filepath.Join(t.TempDir(), "config.json")}
+		f.parent, f.origin = newNode(t, "s-parent", "parent", missing), newNode(t, "s-origin", "origin", hit)
+		cache := newNode(t, "s-1", "std", hit)
+		f.board.list(true, "ready", f.parent, f.origin)
+		f.configure(f.board, "")
+		text, err := os.ReadFile(f.config)
+		if err != nil {
+			t.Fatal(err)
+		}
+		whole := strings.Replace(string(text), `"known":`+f.board.First(), `"known":`+known, 1)
+		if whole == string(text) {
+			t.Fatal("the configuration has no such events")
+		}
+		if err := os.WriteFile(f.config, []byte(whole), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f.start()
+		f.board.list(false, "ready", cache)
+		f.board.list(true, "ready", cache, f.parent, f.origin)
+		f.client().read().reaches(cache)
+	}
+}
--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"math"
 	"os"
 	"os/signal"
@@ -87,16 +85,14 @@
 	server := front.New(lim, c.Names, c.Rules.Tariffs, doors, offer, log)
 	pool.Short, server.Relieve, pool.Guard = server.Short, pool.Relieve, monitor
 
-	var known bulletin.Page
-	if len(c.Known) > 0 {
-		if err := json.Unmarshal(c.Known, &known); err != nil {
-			return fmt.Errorf("configuration: known: %w", err)
-		}
-	}
 	follower := bulletin.New(lim, c.Names, c.Bulletin, log)
 	stores.follow(follower)
-	if err := follower.Take(&known, func(what any) { eng.Handle(0, engine.Event{What: stores.told(what)}) }); err != nil {
-		return fmt.Errorf("configuration: known: %w", err)
+	if len(c.Known) > 0 {
+		known, cut := bulletin.Known(c.Known)
+		err := follower.Take(&known, func(what any) { eng.Handle(0, engine.Event{What: stores.told(what)}) })
+		if err := errors.Join(cut, err); err != nil { // the bulletin tells the rest
+			log.Warn("configuration: known: not all of it can be read", zap.Error(err))
+		}
 	}
 
 	ln, err := begins.listen(c.Listen)
--- a/cmd/fennelarch/serve_test.go
+++ b/cmd/fennelarch/serve_test.go
@@ -218,12 +218,20 @@
 }
 
 func newFleet(t *testing.T, caches ...*node) *fleet {
-	f := &fleet{t: t, board: newBoard(t), logged: make(chan struct{})}
+	f := &fleet{t: t, board: newBoard(t)}
 	f.parent, f.origin = newNode(t, "s-parent", "parent", missing), newNode(t, "s-origin", "origin", hit)
 	f.board.list(true, "ready", append(caches, f.parent, f.origin)...)
 	f.listen = freeAddress(t)
 	f.config = filepath.Join(t.TempDir(), "config.json")
 	f.configure(f.board, "")
+	f.start()
+	return f
+}
+
+// start starts the router and waits until it listens.
+func (f *fleet) start() {
+	t := f.t
+	f.logged = make(chan struct{})
 	f.router = program("serve", f.config)
 	out, err := f.router.StderrPipe()
 	if err != nil {
@@ -254,7 +262,6 @@
 		}
 		return err == nil
 	})
-	return f
 }
 
 // configure writes the configuration with the bulletin at a board, cut off where it is to be.
--- a/internal/back/pool_test.go
+++ b/internal/back/pool_test.go
@@ -264,3 +264,75 @@
 	}
 	r.end(rules.Unconnected, r.send(9, 1))
 }
+
+// A server moves: what is open on its old connection ends there, what waits for one goes elsewhere, and nothing new goes by the old.
+func TestServerMoves(t *testing.T) {
+	old, to := newStand(t), newStand(t)
+	r := newRig(t, nil)
+	r.list(1, rules.Ready, old.Addr().String())
+	open := r.send(1, 1)
+	next(t, old.asked)
+	r.list(1, rules.Ready, to.Addr().String())
+	moved := r.send(2, 1)
+	next(t, to.asked)
+	to.answer <- true
+	r.end(rules.Succeeded, moved)
+	old.answer <- true
+	r.end(rules.Succeeded, open)
+	for end := time.Now().Add(10 * time.Second); r.Count() > 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are left", r.Count())
+		}
+	}
+	if len(old.asked) > 0 {
+		t.Error("the old connection was used again")
+	}
+
+	held := make(chan struct{})
+	dial := r.dial
+	r.dial = func(n, a string, d time.Duration) (net.Conn, error) {
+		if a == old.Addr().String() {
+			<-held
+		}
+		return dial(n, a, d)
+	}
+	r.list(1, rules.Ready, old.Addr().String())
+	waits := r.send(3, 1)
+	r.list(1, rules.Ready, to.Addr().String())
+	r.end(rules.Unconnected, waits)
+	close(held)
+}
+
+// What concerns this machine alone is tried again, and tells nothing of the server; so does a way that is gone for a moment. A server
+// that refuses is asked no second time.
+func TestDialFailures(t *testing.T) {
+	for _, c := range []struct {
+		err   error
+		times int // it fails
+		want  rules.Outcome
+		dials int
+	}{
+		{syscall.EADDRNOTAVAIL, 2, rules.Succeeded, 3},
+		{syscall.ENETUNREACH, 100, rules.Moot, 5},
+		{syscall.EHOSTUNREACH, 1, rules.Succeeded, 2},
+		{syscall.EHOSTUNREACH, 100, rules.Unconnected, 5},
+		{syscall.EINTR, 1, rules.Succeeded, 2},
+		{syscall.ECONNREFUSED, 1, rules.Unconnected, 1},
+	} {
+		s := newStand(t)
+		r := newRig(t, func(l *limits.Limits) { l.Slow = 100 * time.Millisecond })
+		var dials atomic.Int64
+		r.dial = func(n, a string, d time.Duration) (net.Conn, error) {
+			if dials.Add(1) <= int64(c.times) {
+				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", c.err)}
+			}
+			return net.DialTimeout(n, a, d)
+		}
+		r.list(1, rules.Ready, s.Addr().String())
+		l := r.send(1, 1)
+		s.answer <- true
+		if r.end(c.want, l); int(dials.Load()) != c.dials {
+			t.Errorf("%v, %d times: %d dials, not %d", c.err, c.times, dials.Load(), c.dials)
+		}
+	}
+}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -3,6 +3,7 @@
 package bulletin
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -26,7 +27,10 @@
 	"fennelarch/rules"
 )
 
-var errPage = errors.New("not a page of events")
+var (
+	errPage   = errors.New("not a page of events")
+	errBehind = errors.New("it is behind what it told")
+)
 
 // Page is what a poll brings, and what the configuration knows at the start.
 type Page struct {
@@ -57,6 +61,18 @@
 	State  string  `json:"state"`
 	Weight float64 `json:"capacity_hint"`
 	Boot   float64 `json:"boot_ms"`
+
+	bad error // it can't be read: the others of its event can
+}
+
+// UnmarshalJSON reads one line of a list. What can't be read costs that line, not the event.
+func (t *target) UnmarshalJSON(text []byte) error {
+	type plain target
+	var p plain
+	err := json.Unmarshal(text, &p)
+	*t = target(p)
+	t.bad = err
+	return nil
 }
 
 type recall struct {
@@ -70,8 +86,9 @@
 	limits limits.Limits
 	names  settings.Names
 	log    *zap.Logger
-	last   int64 // number of the last event that was passed on
-	gap    int64 // number before which one is missing, as seen in the last page
+	last   int64     // number of the last event that was passed on
+	gap    int64     // number before which one is missing, as seen in the last page
+	behind time.Time // since when pages end before the last event, zero: they do not
 
 	Current func(asOf time.Time) // if set, is called when all that was told before a moment has been passed on
 	Gap     func()               // if set, is called when something was told that will never be
@@ -111,11 +128,21 @@
 var states = map[string]rules.State{"gone": rules.Gone, "ready": rules.Ready, "draining": rules.Draining}
 
 // Take passes on the events of a page that are new. Where one is missing, what follows waits for the next page; if it is
-// missing there too, it is gone. Numbers that went back are those of a new bulletin, whose first event is a whole list.
-func (f *Follower) Take(p *Page, pass func(what any)) error {
-	if p.No > 0 && p.No < f.last {
+// missing there too, it is gone. Numbers that stay behind for long are those of a new bulletin, whose first event is a whole list;
+// for a moment, they are those of one that has not caught up yet, and tell what is no longer so. An event that can't be read is
+// passed over, and told in the end.
+func (f *Follower) Take(p *Page, pass func(what any)) (unread error) {
+	switch now := time.Now(); {
+	case p.No <= 0 || p.No >= f.last:
+		f.behind = time.Time{}
+	case f.behind.IsZero() && f.limits.Rewind > 0:
+		f.behind = now
+		return fmt.Errorf("%w: at %d, not %d", errBehind, p.No, f.last)
+	case now.Sub(f.behind) < f.limits.Rewind:
+		return fmt.Errorf("%w: at %d, not %d", errBehind, p.No, f.last)
+	default:
 		f.log.Warn("bulletin went back", zap.Int64("from", f.last), zap.Int64("to", p.No))
-		f.last = 0
+		f.last, f.behind = 0, time.Time{}
 		f.lost()
 	}
 	for _, it := range p.Items {
@@ -125,7 +152,7 @@
 		if it.No != f.last+1 && it.No != f.gap && f.last > 0 {
 			f.log.Warn("bulletin has a gap", zap.Int64("after", f.last), zap.Int64("next", it.No))
 			f.gap = it.No
-			return nil
+			return unread
 		}
 		if it.No == f.gap {
 			f.lost()
@@ -134,13 +161,14 @@
 		f.last = it.No
 		if err != nil { // it will be no better when it is told again
 			f.lost()
-			return fmt.Errorf("event %d: %w", it.No, err)
+			unread = errors.Join(unread, fmt.Errorf("event %d: %w", it.No, err))
+			continue
 		}
 		if what != nil {
 			pass(what)
 		}
 	}
-	return nil
+	return unread
 }
 
 func (f *Follower) lost() {
@@ -156,6 +184,10 @@
 	case it.Roster != nil:
 		l := engine.List{All: it.Roster.All}
 		for _, t := range it.Roster.Targets {
+			if t.bad != nil {
+				f.log.Warn("node cannot be read", zap.String("uid", t.UID), zap.Error(t.bad))
+				continue
+			}
 			state, known := states[t.State]
 			kind, zone := slices.Index(f.names.Kinds, t.Kind), slices.Index(f.names.Zones, t.Zone)
 			if !known || t.UID == "" || kind < 0 || zone < 0 {
@@ -275,6 +307,9 @@
 	return n, err
 }
 
+// Known reads the events that a configuration holds. What can't be read of them is told by the bulletin itself.
+func Known(text []byte) (Page, error) { return readPage(bytes.NewReader(text)) }
+
 // readPage reads a page event by event; of one that breaks off, it returns the whole events before the break, and no
 // number.
 func readPage(r io.Reader) (p Page, cut error) {
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/bulletin/bulletin_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -22,7 +23,7 @@
 func testFollower() *Follower {
 	l := limits.From(limits.Told{MemoryMB: 64, Sockets: 256})
 	l.Poll, l.Silent, l.Again = 50*time.Millisecond, 200*time.Millisecond, time.Millisecond
-	l.Halt = 100 * time.Millisecond
+	l.Halt, l.Rewind = 100*time.Millisecond, 0
 	return New(l, settings.Names{Zones: []string{"west", "east"}, Kinds: []string{"std", "parent"}}, "", zap.NewNop())
 }
 
@@ -68,14 +69,14 @@
 	// {Object:0 Group:5 Issued:2025-12-01 08:00:00.48 +0000 UTC}; {Object:0 Group:6 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 6
 	// {Object:0 Group:8 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 8
 	// {Nodes:[{Member:{Node:9330569031926659595 State:0 Kind:1 Zone:0 Cell:0 Weight:0 Started:0s} UID:s-4 Address: Boot:0001-01-01 00:00:00 +0000 UTC}] All:false}; <nil> 9
-	// event 10: strconv.ParseUint: parsing "x": invalid syntax 10
-	// {Object:0 Group:11 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 11
+	// {Object:0 Group:11 Issued:2025-12-01 08:00:00.48 +0000 UTC}; event 10: strconv.ParseUint: parsing "x": invalid syntax 11
+	// <nil> 11
 	// {Object:0 Group:12 Issued:2025-12-01 08:00:00.48 +0000 UTC}; unexpected EOF 12
 	// <nil> 12
 	// not a page of events 12
 	// {Object:0 Group:1 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 1
-	// event 2: json: cannot unmarshal string into Go struct field roster.roster.targets of type []bulletin.target 2
-	// {Object:0 Group:3 Issued:2025-12-01 08:00:00.48 +0000 UTC}; {Object:0 Group:4 Issued:2025-12-01 08:00:00.48 +0000 UTC}; <nil> 4
+	// {Object:0 Group:3 Issued:2025-12-01 08:00:00.48 +0000 UTC}; {Object:0 Group:4 Issued:2025-12-01 08:00:00.48 +0000 UTC}; event 2: json: cannot unmarshal string into Go struct field roster.roster.targets of type []bulletin.target 4
+	// <nil> 4
 	// json: cannot unmarshal string into Go struct field Item.no of type int64 4
 }
 
@@ -235,3 +236,51 @@
 	events := follow(t, f, served(t, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, page(1, purge(1))) }))
 	expect(t, events, 1)
 }
+
+// A bulletin that has not caught up tells what is no longer so: it is passed over. One that stays behind is a new one.
+func TestBehind(t *testing.T) {
+	f := testFollower()
+	f.limits.Rewind = 100 * time.Millisecond
+	taken := 0
+	take := func(text string) error {
+		p, err := readPage(strings.NewReader(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return f.Take(&p, func(any) { taken++ })
+	}
+	if err := take(page(3, purge(1), purge(2), purge(3))); err != nil || taken != 3 {
+		t.Fatalf("%d events, %v", taken, err)
+	}
+	for range 2 {
+		if err := take(page(2, purge(1), purge(2))); !errors.Is(err, errBehind) || taken != 3 || f.last != 3 {
+			t.Errorf("%d events up to %d, %v", taken, f.last, err)
+		}
+	}
+	if err := take(page(4, purge(4))); err != nil || taken != 4 { // it has caught up
+		t.Errorf("%d events, %v", taken, err)
+	}
+	_ = take(page(2, purge(1), purge(2)))
+	time.Sleep(120 * time.Millisecond)
+	if err := take(page(2, purge(1), purge(2))); err != nil || taken != 6 || f.last != 2 {
+		t.Errorf("a new bulletin: %d events up to %d, %v", taken, f.last, err)
+	}
+}
+
+// One line of a list can't be read: the others of its event, and the events after it, are told.
+func TestUnreadableLine(t *testing.T) {
+	f := testFollower()
+	p, err := readPage(strings.NewReader(page(2, `{"no":1,"roster":{"all":true,"targets":[{"uid":7},
+	  {"uid":"s-1","endpoint":"10.1.0.9:9090","az":"east","model":"std","state":"ready","capacity_hint":"four"},
+	  {"uid":"s-2","endpoint":"10.1.0.9:9091","az":"east","model":"std","state":"ready","capacity_hint":4}]}}`, purge(2))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var told []any
+	if err := f.Take(&p, func(what any) { told = append(told, what) }); err != nil || len(told) != 2 {
+		t.Fatalf("%v, %v", told, err)
+	}
+	if list := told[0].(engine.List); len(list.Nodes) != 1 || list.Nodes[0].UID != "s-2" {
+		t.Errorf("%+v", list)
+	}
+}
--- a/internal/front/cancel_test.go
+++ b/internal/front/cancel_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fennelarch/internal/engine"
+	"fennelarch/internal/limits"
 
 	"github.com/tidwall/redcon"
 )
@@ -77,3 +78,49 @@
 		}
 	}
 }
+
+// Half a request stays half for too long. Its tag is known, so that it is refused before its connection ends: its last bytes may be
+// on their way, and nobody would answer them.
+func TestHalfRequestIsRefused(t *testing.T) {
+	for name, c := range map[string]struct{ half, want string }{
+		"tag and more": {do(7, "body")[:60], frame("7", "BUSY", "", "")},
+		"tag alone":    {"*5\r\n$2\r\nDO\r\n$1\r\n7\r\n", frame("7", "BUSY", "", "")},
+		"no tag yet":   {"*5\r\n$2\r\nDO\r\n$1\r\n7", ""},
+		"no request":   {"*5\r\n$4\r\nPING\r\n$1\r\n7\r\n", ""},
+	} {
+		h := newHouse(t, func(l *limits.Limits) { l.Whole = 50 * time.Millisecond })
+		conn := h.dial()
+		h.write(conn, frame("PING", "1")+c.half)
+		if got := h.rest(conn); got != frame("1", "UP", "", "")+c.want {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+}
+
+// A client that reads nothing has most of the memory for answers; one that reads has its answers all the same.
+func TestDeafClientLeavesRoomForOthers(t *testing.T) {
+	deaf := testSession()
+	answer := func(s *session, tag int) (word string) {
+		t.Helper()
+		if err := s.got(copy(s.space(), do(tag, "")), time.Time{}); err != nil {
+			t.Fatal(err)
+		}
+		s.answer(engine.Tag(tag), engine.Answer{Verdict: engine.Succeeded, Body: make([]byte, 100_000)})
+		return s.waiting[len(s.waiting)-1].word
+	}
+	tag := 1
+	for ; answer(deaf, tag) == "OK"; tag++ {
+	}
+	if tag < 8 {
+		t.Errorf("a client that reads nothing yet has %d answers", tag-1)
+	}
+	other := newSession(deaf.shared, nil, open, time.Time{})
+	other.in.Release()
+	if err := other.got(copy(other.space(), frame("DO", "1", "clip", "req=00000000000000aa,timeout=1500,subject=7f3a9c21e0b4d655")), time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	other.answer(1, engine.Answer{Verdict: engine.Succeeded, Body: make([]byte, 100_000)})
+	if word := other.waiting[0].word; word != "OK" {
+		t.Errorf("a client that reads has %s", word)
+	}
+}
