--- a/cmd/fennelarch/main.go
+++ b/cmd/fennelarch/main.go
@@ -12,6 +12,7 @@
 
 	"fennelarch/internal/operator"
 	"fennelarch/internal/settings"
+	"fennelarch/internal/system"
 )
 
 // version is the release; the revision is added where the build knows it.
@@ -67,6 +68,9 @@
 		}
 		fmt.Print(" ", info.GoVersion)
 	}
+	if system.Faulty {
+		fmt.Print(" with injected faults, not for service")
+	}
 	fmt.Println()
 	return nil
 }
--- a/cmd/fennelarch/patience_test.go
+++ b/cmd/fennelarch/patience_test.go
@@ -205,6 +205,10 @@
 		f.start()
 		f.board.list(false, "ready", cache)
 		f.board.list(true, "ready", cache, f.parent, f.origin)
-		f.client().read().reaches(cache)
+		c := f.client().read()
+		await(t, "the list that the bulletin tells", func() bool {
+			c.answer(c.view("clip", 1, 2000, "")) // refused until it has come
+			return len(cache.got("fetch")) > 0
+		})
 	}
 }
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -260,7 +260,7 @@
 		s.Relieve()
 	}
 	s.spare.release()
-	t, can := l.(*net.TCPListener)
+	t, can := l.(interface{ SetDeadline(time.Time) error })
 	if !can {
 		time.Sleep(a.Wait)
 		return nil
@@ -269,7 +269,7 @@
 	_ = t.SetDeadline(time.Now().Add(a.Wait))
 	defer func() { _ = t.SetDeadline(time.Time{}) }()
 	for range s.shared.limits.Sockets {
-		up, err := t.Accept()
+		up, err := l.Accept()
 		if err != nil {
 			if system.Exhausted(err) {
 				time.Sleep(a.Wait) // not even the spare one is to be had
