--- a/cmd/fennelab/main.go
+++ b/cmd/fennelab/main.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kong"
 
 	"fennelarch/internal/lab"
+	"fennelarch/internal/lab/soak"
 )
 
 type listCmd struct{}
@@ -24,6 +25,7 @@
 	Seed    uint64  `default:"1" help:"What chance is drawn from; the same seed gives the same script."`
 	Scale   float64 `default:"1" help:"Of rates and durations; 1 is what docs/results.md tells."`
 	Routers int     `help:"How many routers, where the experiment leaves it open; 0: its own choice."`
+	Plan    string  `type:"path" placeholder:"FILE" help:"The plan of a soak, a trouble a line; none: by the seed."`
 	Out     string  `type:"path" placeholder:"DIR" help:"Where the result is written, as NAME-SEED.json."`
 	JSON    bool    `name:"json" help:"Print the result as JSON."`
 }
@@ -39,10 +41,26 @@
 	return nil
 }
 
+// usageError is a flag that can't be used.
+type usageError struct{ error }
+
 var errClaim = errors.New("a claim did not hold")
 
 func (c runCmd) Run() error {
-	o := lab.Options{Seed: c.Seed, Scale: c.Scale, Routers: c.Routers}
+	o := lab.Options{Seed: c.Seed, Scale: c.Scale, Routers: c.Routers, Out: c.Out}
+	if c.Scale <= 0 || c.Scale > 10 {
+		return usageError{fmt.Errorf("--scale: %g is not between 0 and 10", c.Scale)}
+	}
+	if c.Routers < 0 || c.Routers > 200 {
+		return usageError{fmt.Errorf("--routers: %d is not between 0 and 200", c.Routers)}
+	}
+	if c.Plan != "" {
+		text, err := os.ReadFile(c.Plan)
+		if err != nil {
+			return usageError{fmt.Errorf("--plan: %w", err)}
+		}
+		o.Plan = string(text)
+	}
 	if !c.JSON {
 		o.Note = os.Stderr
 	}
@@ -97,6 +115,9 @@
 	ctx := kong.Parse(&cli, kong.Name("fennelab"), kong.Description("Experiments on real routers among stand-ins, on loopback."))
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "fennelab:", err)
+		if errors.As(err, &usageError{}) || errors.As(err, &soak.PlanError{}) {
+			os.Exit(2)
+		}
 		os.Exit(1)
 	}
 }
--- a/internal/lab/admission.go
+++ b/internal/lab/admission.go
@@ -320,7 +320,7 @@
 	hard = besiegedCrew.seen()
 	for _, v := range besiegedCrew.views {
 		if v.word != "OK" {
-			o.note("%s: at %v of the flood %q after %v", name, v.at.Sub(besiegedCrew.views[0].at).Round(time.Millisecond), v.word, v.took.Round(time.Millisecond))
+			o.Say("%s: at %v of the flood %q after %v", name, v.at.Sub(besiegedCrew.views[0].at).Round(time.Millisecond), v.word, v.took.Round(time.Millisecond))
 		}
 	}
 	seen := s.End()
@@ -329,27 +329,27 @@
 	} else {
 		r.rules(name, seen)
 	}
-	r.figure(name+" crew connects", float64(hard.connected)/float64(max(1, hard.views)))
-	r.figure(name+" crew due share calm", float64(calm.inTime)/float64(max(1, calm.views)))
-	r.figure(name+" crew due share", float64(hard.inTime)/float64(max(1, hard.views)))
-	r.figure(name+" crew slowest connect ms", float64(hard.p99.Milliseconds()))
-	r.figure(name+" crew turned back", float64(hard.turned)/float64(max(1, hard.views)))
-	r.figure(name+" crew served late", float64(hard.served-hard.inTime)/float64(max(1, hard.views)))
-	r.figure(name+" flood tried", float64(f.tried.Load()))
-	r.figure(name+" flood taken", float64(f.taken.Load()))
-	r.figure(name+" flood turned back", float64(f.turned.Load()))
-	r.figure(name+" s until normal", normal)
-	r.figure(name+" files at the peak", float64(use.Files))
+	r.Figure(name+" crew connects", float64(hard.connected)/float64(max(1, hard.views)))
+	r.Figure(name+" crew due share calm", float64(calm.inTime)/float64(max(1, calm.views)))
+	r.Figure(name+" crew due share", float64(hard.inTime)/float64(max(1, hard.views)))
+	r.Figure(name+" crew slowest connect ms", float64(hard.p99.Milliseconds()))
+	r.Figure(name+" crew turned back", float64(hard.turned)/float64(max(1, hard.views)))
+	r.Figure(name+" crew served late", float64(hard.served-hard.inTime)/float64(max(1, hard.views)))
+	r.Figure(name+" flood tried", float64(f.tried.Load()))
+	r.Figure(name+" flood taken", float64(f.taken.Load()))
+	r.Figure(name+" flood turned back", float64(f.turned.Load()))
+	r.Figure(name+" s until normal", normal)
+	r.Figure(name+" files at the peak", float64(use.Files))
 	return calm, hard, f, nil
 }
 
 // holds claims what crews must get during a flood.
 func holds(r *Result, name string, calm, hard crewSeen) {
-	r.claim(hard.views > 0 && float64(hard.connected) >= 0.99*float64(hard.views), name+": known clients connect within 1 s", "%d of %d", hard.connected, hard.views)
+	r.Claim(hard.views > 0 && float64(hard.connected) >= 0.99*float64(hard.views), name+": known clients connect within 1 s", "%d of %d", hard.connected, hard.views)
 	a, b := float64(calm.inTime)/float64(max(1, calm.views)), float64(hard.inTime)/float64(max(1, hard.views))
-	r.claim(b >= a-0.02, name+": their views keep their due times", "%.3f, calm %.3f", b, a)
-	r.claim(hard.lost == 0, name+": no view of theirs is lost", "%d %s", hard.lost, hard.why)
-	r.claim(r.Figures[name+" s until normal"] >= 0, name+": strangers are served again after it", "%.2f s", r.Figures[name+" s until normal"])
+	r.Claim(b >= a-0.02, name+": their views keep their due times", "%.3f, calm %.3f", b, a)
+	r.Claim(hard.lost == 0, name+": no view of theirs is lost", "%d %s", hard.lost, hard.why)
+	r.Claim(r.Figures[name+" s until normal"] >= 0, name+": strangers are served again after it", "%.2f s", r.Figures[name+" s until normal"])
 }
 
 func addresses(n int) (list []string) {
@@ -359,7 +359,7 @@
 	return list
 }
 
-var _ = register(Experiment{"admission-burst", "one address opens ten thousand connections, at once and at a steady rate", func(o Options, r *Result) error {
+var _ = Register(Experiment{"admission-burst", "one address opens ten thousand connections, at once and at a steady rate", func(o Options, r *Result) error {
 	one := func(a string) *flood { return &flood{address: a, from: []string{"127.9.9.9"}, loop: true} }
 	n := o.many(10_000)
 	calm, hard, _, err := besieged(r, "burst", o, gate(nil), nil, one, n, 0, nil)
@@ -373,12 +373,12 @@
 	holds(r, "steady", calm, hard)
 	calm, hard, _, err = besieged(r, "no admission", o, nil, nil, one, n, 0, nil)
 	if err == nil {
-		r.figure("no admission crew lost", float64(hard.lost))
+		r.Figure("no admission crew lost", float64(hard.lost))
 	}
 	return err
 }})
 
-var _ = register(Experiment{"admission-many", "a thousand addresses flood together", func(o Options, r *Result) error {
+var _ = Register(Experiment{"admission-many", "a thousand addresses flood together", func(o Options, r *Result) error {
 	many := func(a string) *flood { return &flood{address: a, from: addresses(1000), loop: true} }
 	n := o.many(10_000)
 	calm, hard, _, err := besieged(r, "many", o, gate(nil), nil, many, n, 0, nil)
@@ -390,7 +390,7 @@
 	return err
 }})
 
-var _ = register(Experiment{"admission-descriptors", "descriptors run out while answers are owed", func(o Options, r *Result) error {
+var _ = Register(Experiment{"admission-descriptors", "descriptors run out while answers are owed", func(o Options, r *Result) error {
 	many := func(a string) *flood { return &flood{address: a, from: addresses(1000), loop: true} }
 	calm, hard, _, err := besieged(r, "reached", o, gate(nil), nil, many, o.many(4000), 0, func(s *Scene) {
 		// The system gives fewer than the router was told at its start, which it finds out with the flood.
@@ -412,7 +412,7 @@
 // tight is the bound on descriptors that routers are started with, 0: the system's.
 var tight atomic.Int64
 
-var _ = register(Experiment{"admission-handshakes", "half handshakes by the thousand; and keys read again meanwhile", func(o Options, r *Result) error {
+var _ = Register(Experiment{"admission-handshakes", "half handshakes by the thousand; and keys read again meanwhile", func(o Options, r *Result) error {
 	k, err := newKeys("crew")
 	if err != nil {
 		return err
@@ -479,7 +479,7 @@
 		"client_ca_file": filepath.Join(k.folder, "ca.crt"), "client": "optional"}
 }
 
-var _ = register(Experiment{"admission-shared", "behind one address, one bad and fifty good clients are told apart by certificate", func(o Options, r *Result) error {
+var _ = Register(Experiment{"admission-shared", "behind one address, one bad and fifty good clients are told apart by certificate", func(o Options, r *Result) error {
 	names := []string{"bad"}
 	for i := range 50 {
 		names = append(names, fmt.Sprintf("good-%d", i))
@@ -539,14 +539,14 @@
 	f.end()
 	seen := s.End()
 	r.rules("shared", seen)
-	r.figure("shared flood taken", float64(f.taken.Load()))
-	r.figure("shared flood tried", float64(f.tried.Load()))
-	r.figure("shared s until normal", 0)
+	r.Figure("shared flood taken", float64(f.taken.Load()))
+	r.Figure("shared flood tried", float64(f.tried.Load()))
+	r.Figure("shared s until normal", 0)
 	holds(r, "shared", calm, hard)
 	return nil
 }})
 
-var _ = register(Experiment{"admission-restart", "known clients that return all at once after a restart, among a flood", func(o Options, r *Result) error {
+var _ = Register(Experiment{"admission-restart", "known clients that return all at once after a restart, among a flood", func(o Options, r *Result) error {
 	back := func(name string, n int) (in, answered, served int, err error) {
 		set := site(1, false)
 		set.SizeKB, set.Objects, set.Extra = 30, 30, gate(nil)
@@ -591,7 +591,7 @@
 			}()
 		}
 		wait.Wait()
-		r.figure(name+" until the last crew is served s", time.Since(begun).Seconds())
+		r.Figure(name+" until the last crew is served s", time.Since(begun).Seconds())
 		for _, c := range crews {
 			k := c.seen()
 			if k.connected == k.views {
@@ -625,7 +625,7 @@
 	if err != nil {
 		return err
 	}
-	r.claim(in == 60 && answered == 60, "all crews are back within a second, and each view has its answer", "%d connected, %d answered of 60", in, answered)
-	r.claim(served >= calm-2, "as many are served as without a flood", "%d of 60, calm %d", served, calm)
+	r.Claim(in == 60 && answered == 60, "all crews are back within a second, and each view has its answer", "%d connected, %d answered of 60", in, answered)
+	r.Claim(served >= calm-2, "as many are served as without a flood", "%d of 60, calm %d", served, calm)
 	return nil
 }})
--- a/internal/lab/judge_test.go
+++ b/internal/lab/judge_test.go
@@ -50,8 +50,8 @@
 	if r.Held() {
 		t.Error("a result without claims held")
 	}
-	r.claim(true, "one", "")
-	r.claim(false, "two", "")
+	r.Claim(true, "one", "")
+	r.Claim(false, "two", "")
 	if r.Held() {
 		t.Error("a result with a claim that failed held")
 	}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -15,10 +15,12 @@
 	Seed    uint64
 	Scale   float64 // of rates and durations, 1: as told in the results
 	Routers int     // 0: the experiment's own
+	Plan    string  // of a run that has one, as text; "": by the seed
+	Out     string  // the folder for what a run that failed leaves behind, "": none
 	Note    io.Writer
 }
 
-func (o Options) note(format string, a ...any) {
+func (o Options) Say(format string, a ...any) {
 	if o.Note != nil {
 		fmt.Fprintf(o.Note, format+"\n", a...)
 	}
@@ -52,43 +54,43 @@
 	return len(r.Claims) > 0 && !slices.ContainsFunc(r.Claims, func(c Claim) bool { return !c.Held })
 }
 
-func (r *Result) claim(held bool, name, format string, a ...any) {
+func (r *Result) Claim(held bool, name, format string, a ...any) {
 	r.Claims = append(r.Claims, Claim{name, held, fmt.Sprintf(format, a...)})
 }
 
-func (r *Result) figure(name string, x float64) { r.Figures[name] = x }
+func (r *Result) Figure(name string, x float64) { r.Figures[name] = x }
 
 // rules claims what must hold in every arm.
 func (r *Result) rules(arm string, n *Seen) {
-	r.claim(n.Views > 0 && n.Lost == 0 && n.Twice == 0 && n.Late == 0, arm+": one final answer in time for each view",
+	r.Claim(n.Views > 0 && n.Lost == 0 && n.Twice == 0 && n.Late == 0, arm+": one final answer in time for each view",
 		"%d views, %d lost, %d answered twice, %d after their time %s", n.Views, n.Lost, n.Twice, n.Late, n.Why)
-	r.claim(n.RanTwice == 0 && n.Wrong == 0, arm+": nothing runs twice, every byte is right", "%d ran twice, %d with wrong bytes",
+	r.Claim(n.RanTwice == 0 && n.Wrong == 0, arm+": nothing runs twice, every byte is right", "%d ran twice, %d with wrong bytes",
 		n.RanTwice, n.Wrong)
-	r.claim(n.AfterDrain == 0, arm+": drains are kept", "%d legs or sources past the grace", n.AfterDrain)
-	r.claim(n.Stale == 0, arm+": purges are kept", "%d answers from before a purge past the grace", n.Stale)
-	r.claim(len(n.Errors) == 0, arm+": no router crashed", "%v", n.Errors)
+	r.Claim(n.AfterDrain == 0, arm+": drains are kept", "%d legs or sources past the grace", n.AfterDrain)
+	r.Claim(n.Stale == 0, arm+": purges are kept", "%d answers from before a purge past the grace", n.Stale)
+	r.Claim(len(n.Errors) == 0, arm+": no router crashed", "%v", n.Errors)
 	r.figures(arm, n)
 }
 
 // figures tells of an arm without a claim: a baseline may break what it likes.
 func (r *Result) figures(arm string, n *Seen) {
 	r.Arms[arm] = n
-	r.figure(arm+" lost", float64(n.Lost))
-	r.figure(arm+" views", float64(n.Views))
-	r.figure(arm+" due share", n.Share())
-	r.figure(arm+" turned back", float64(n.TurnedBack))
-	r.figure(arm+" p50 ms", n.P(50))
-	r.figure(arm+" p99 ms", n.P(99))
-	r.figure(arm+" fills at the origin", float64(n.Fills))
-	r.figure(arm+" cpu us a view", float64(n.CPU.Microseconds())/float64(max(1, n.Views)))
-	r.figure(arm+" peak MB", n.PeakMB)
-	r.figure(arm+" files", float64(n.Files))
+	r.Figure(arm+" lost", float64(n.Lost))
+	r.Figure(arm+" views", float64(n.Views))
+	r.Figure(arm+" due share", n.Share())
+	r.Figure(arm+" turned back", float64(n.TurnedBack))
+	r.Figure(arm+" p50 ms", n.P(50))
+	r.Figure(arm+" p99 ms", n.P(99))
+	r.Figure(arm+" fills at the origin", float64(n.Fills))
+	r.Figure(arm+" cpu us a view", float64(n.CPU.Microseconds())/float64(max(1, n.Views)))
+	r.Figure(arm+" peak MB", n.PeakMB)
+	r.Figure(arm+" files", float64(n.Files))
 }
 
 // Experiment is one scripted, repeatable test.
 type Experiment struct {
 	Name, Shows string
-	run         func(o Options, r *Result) error
+	Run         func(o Options, r *Result) error
 }
 
 // Experiments are all there are, by name.
@@ -105,7 +107,8 @@
 
 var experiments = map[string]Experiment{}
 
-func register(e Experiment) bool {
+// Register adds an experiment; its package is imported for that.
+func Register(e Experiment) bool {
 	experiments[e.Name] = e
 	return true
 }
@@ -120,5 +123,5 @@
 		o.Scale = 1
 	}
 	r := &Result{Experiment: name, Seed: o.Seed, Scale: o.Scale, Figures: map[string]float64{}, Arms: map[string]*Seen{}}
-	return r, e.run(o, r)
+	return r, e.Run(o, r)
 }
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -31,6 +31,8 @@
 	HardMS    float64
 	ColdMS    float64
 	ColdShare float64
+
+	Change func(settings map[string]any) // if set, changes what all routers are told
 }
 
 // Usual are settings of a middling site.
@@ -40,6 +42,14 @@
 }
 
 func (s Settings) text() map[string]any {
+	text := s.usual()
+	if s.Change != nil {
+		s.Change(text)
+	}
+	return text
+}
+
+func (s Settings) usual() map[string]any {
 	return map[string]any{
 		"az": 0, "dcs": []string{"west"}, "shapes": []string{"box", "parent", "origin"}, "n_instances": s.Routers,
 		"registry_mode": "automatic", "weight_source": "rough",
@@ -64,7 +74,8 @@
 	Name    string
 	Address string
 
-	secure  bool // it speaks TLS
+	Env     []string // of the process, besides this one's
+	secure  bool     // it speaks TLS
 	program string
 	folder  string
 	args    []string
@@ -131,6 +142,7 @@
 		cmd = exec.Command("/bin/sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, n), r.program}, r.args...)...)
 	}
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+r.config(), "RELAY_OPERATOR=")
+	cmd.Env = append(cmd.Env, r.Env...)
 	cmd.Stderr = &lockedWriter{r: r}
 	if err := cmd.Start(); err != nil {
 		return err
@@ -181,6 +193,20 @@
 	return w.r.log.Write(p)
 }
 
+// PID is its process's id.
+func (r *Router) PID() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cmd.Process.Pid
+}
+
+// Ended is closed once its process has ended.
+func (r *Router) Ended() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended
+}
+
 // Log is what it wrote so far.
 func (r *Router) Log() string {
 	r.mu.Lock()
--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -53,12 +53,12 @@
 	return n, nil
 }
 
-var _ = register(Experiment{"store-none", "the baseline: the usual load without a store", func(o Options, r *Result) error {
+var _ = Register(Experiment{"store-none", "the baseline: the usual load without a store", func(o Options, r *Result) error {
 	_, err := arm(r, "none", o.Seed, site(4, false), 4, Load{Rate: 60, For: o.long(8 * time.Second), Writes: 0.05}, nil)
 	return err
 }})
 
-var _ = register(Experiment{"store-cold", "a store that restarts empty in a busy minute is not pushed over by 1, 4 or 16 routers", func(o Options, r *Result) error {
+var _ = Register(Experiment{"store-cold", "a store that restarts empty in a busy minute is not pushed over by 1, 4 or 16 routers", func(o Options, r *Result) error {
 	counts := []int{1, 4, 16}
 	if o.Routers > 0 {
 		counts = []int{o.Routers}
@@ -82,8 +82,8 @@
 			return 0, err
 		}
 		most = max(most, seen.Store.Peak)
-		r.figure(name+" peak multiple", most)
-		r.figure(name+" values given", float64(seen.Store.Given))
+		r.Figure(name+" peak multiple", most)
+		r.Figure(name+" values given", float64(seen.Store.Given))
 		return most, nil
 	}
 	for _, n := range counts {
@@ -92,7 +92,7 @@
 		if err != nil {
 			return err
 		}
-		r.claim(most <= 1, name+": never asked for more than it bears", "at most %.2f of what it bore, in any second since a start", most)
+		r.Claim(most <= 1, name+": never asked for more than it bears", "at most %.2f of what it bore, in any second since a start", most)
 	}
 	told := site(4, true)
 	told.Listed = true
@@ -100,16 +100,16 @@
 	if err != nil {
 		return err
 	}
-	r.claim(most <= 1, "told by the list: never asked for more than it bears", "at most %.2f", most)
+	r.Claim(most <= 1, "told by the list: never asked for more than it bears", "at most %.2f", most)
 	n := counts[len(counts)-1]
 	set := site(n, true)
 	set.Shared["cold_ms"] = 0 // nothing is known of how it starts: the decisions have nothing to go by
 	most, err = play(fmt.Sprintf("%d routers, no budget", n), n, set)
-	r.claim(most > 1, "without a budget the same script pushes it over", "%.2f of what it bore", most)
+	r.Claim(most > 1, "without a budget the same script pushes it over", "%.2f of what it bore", most)
 	return err
 }})
 
-var _ = register(Experiment{"store-slow", "a store that is slow without failing costs no view its due time", func(o Options, r *Result) error {
+var _ = Register(Experiment{"store-slow", "a store that is slow without failing costs no view its due time", func(o Options, r *Result) error {
 	n := 4
 	if o.Routers > 0 {
 		n = o.Routers
@@ -137,13 +137,13 @@
 		if err != nil {
 			return err
 		}
-		r.claim(seen.Share() >= base.Share()-0.01, "a store that answers "+f.name+" costs no due times",
+		r.Claim(seen.Share() >= base.Share()-0.01, "a store that answers "+f.name+" costs no due times",
 			"%.4f of views in time, without a store %.4f; p99 %.0f ms and %.0f ms", seen.Share(), base.Share(), seen.P(99), base.P(99))
 	}
 	return nil
 }})
 
-var _ = register(Experiment{"store-lease", "one object missed by 16 routers at once is filled once; a holder that dies costs nobody a due time", func(o Options, r *Result) error {
+var _ = Register(Experiment{"store-lease", "one object missed by 16 routers at once is filled once; a holder that dies costs nobody a due time", func(o Options, r *Result) error {
 	n := 16
 	if o.Routers > 0 {
 		n = o.Routers
@@ -182,7 +182,7 @@
 		fills := len(s.Origin.Asked()) - before
 		seen := s.End()
 		r.rules(name, seen)
-		r.figure(name+" fills an object", float64(fills)/float64(rounds))
+		r.Figure(name+" fills an object", float64(fills)/float64(rounds))
 		asked, inTime, killed := 0, 0, 0
 		for i, c := range s.Clients {
 			for _, v := range c.Views() {
@@ -197,7 +197,7 @@
 				}
 			}
 		}
-		r.claim(asked > 0 && inTime == asked, name+": every view is in time, but those of a killed router", "%d of %d, %d died with their router",
+		r.Claim(asked > 0 && inTime == asked, name+": every view is in time, but those of a killed router", "%d of %d, %d died with their router",
 			inTime, asked, killed)
 		return seen, nil
 	}
@@ -211,8 +211,8 @@
 		return err
 	}
 	with, without := r.Figures["lease fills an object"], r.Figures["no lease fills an object"]
-	r.claim(with <= 2, "with the lease an object is filled once or twice", "%.1f fills", with)
-	r.claim(without >= 2*with, "without it, by many", "%.1f fills", without)
+	r.Claim(with <= 2, "with the lease an object is filled once or twice", "%.1f fills", with)
+	r.Claim(without >= 2*with, "without it, by many", "%.1f fills", without)
 	return nil
 }})
 
@@ -235,7 +235,7 @@
 	}
 }
 
-var _ = register(Experiment{"store-purge", "no copy from before a purge is served past the grace, whatever befalls the store and the routers", func(o Options, r *Result) error {
+var _ = Register(Experiment{"store-purge", "no copy from before a purge is served past the grace, whatever befalls the store and the routers", func(o Options, r *Result) error {
 	n := 3
 	if o.Routers > 0 {
 		n = o.Routers
@@ -287,9 +287,9 @@
 	if err != nil {
 		return err
 	}
-	r.figure("purges", float64(purged))
-	r.figure("values given", float64(seen.Store.Given))
-	r.claim(seen.Store.Given > seen.Views/20, "the store was of use meanwhile", "%d values given for %d views", seen.Store.Given, seen.Views)
+	r.Figure("purges", float64(purged))
+	r.Figure("values given", float64(seen.Store.Given))
+	r.Claim(seen.Store.Given > seen.Views/20, "the store was of use meanwhile", "%d values given for %d views", seen.Store.Given, seen.Views)
 	return nil
 }})
 
@@ -318,7 +318,7 @@
 	s.Routers[i] = r
 }
 
-var _ = register(Experiment{"store-faults", "whatever the store answers, views are served, and the store is used again when it is well", func(o Options, r *Result) error {
+var _ = Register(Experiment{"store-faults", "whatever the store answers, views are served, and the store is used again when it is well", func(o Options, r *Result) error {
 	n := 2
 	l := Load{Rate: 120, For: o.long(3200 * time.Millisecond)}
 	for _, f := range []struct {
@@ -366,14 +366,14 @@
 		if err != nil {
 			return err
 		}
-		r.claim(seen.Share() >= 0.97, f.name+": views are in time all the same", "%.4f", seen.Share())
-		r.claim(after > before+20, f.name+": the store serves again a quarter later", "%d values", after-before)
-		r.claim(logged, f.name+": the log says so", "%q", f.log)
+		r.Claim(seen.Share() >= 0.97, f.name+": views are in time all the same", "%.4f", seen.Share())
+		r.Claim(after > before+20, f.name+": the store serves again a quarter later", "%d values", after-before)
+		r.Claim(logged, f.name+": the log says so", "%q", f.log)
 	}
 	return nil
 }})
 
-var _ = register(Experiment{"store-drain", "a store that is drained and gone while sets are out gets nothing past the grace", func(o Options, r *Result) error {
+var _ = Register(Experiment{"store-drain", "a store that is drained and gone while sets are out gets nothing past the grace", func(o Options, r *Result) error {
 	n := 3
 	set := warm(site(n, true))
 	set.Listed, set.Boxes = true, 1
@@ -398,12 +398,12 @@
 	if err != nil {
 		return err
 	}
-	r.claim(asked > 0 && later == asked, "no get, lease or set past the grace", "%d before, %d later", asked, later)
-	r.claim(seen.Store.Given > 0 && seen.Share() >= 0.97, "views are in time all the same", "%.4f", seen.Share())
+	r.Claim(asked > 0 && later == asked, "no get, lease or set past the grace", "%d before, %d later", asked, later)
+	r.Claim(seen.Store.Given > 0 && seen.Share() >= 0.97, "views are in time all the same", "%.4f", seen.Share())
 	return nil
 }})
 
-var _ = register(Experiment{"store-cost", "what a view costs by way of a store, beside one by way of a cache", func(o Options, r *Result) error {
+var _ = Register(Experiment{"store-cost", "what a view costs by way of a store, beside one by way of a cache", func(o Options, r *Result) error {
 	l := Load{Rate: 300, For: o.long(6 * time.Second)}
 	box := site(2, false)
 	box.Boxes = 1
@@ -415,8 +415,8 @@
 	if err != nil {
 		return err
 	}
-	r.claim(seen.Share() >= base.Share()-0.01, "a store is as good as a cache", "%.4f of views in time, by a cache %.4f", seen.Share(), base.Share())
-	r.claim(seen.CPU <= 2*base.CPU, "and costs less than twice its processor time", "%v and %v", seen.CPU, base.CPU)
-	r.claim(seen.PeakMB <= base.PeakMB+16, "and no more than 16 MB besides", "%.0f MB and %.0f MB", seen.PeakMB, base.PeakMB)
+	r.Claim(seen.Share() >= base.Share()-0.01, "a store is as good as a cache", "%.4f of views in time, by a cache %.4f", seen.Share(), base.Share())
+	r.Claim(seen.CPU <= 2*base.CPU, "and costs less than twice its processor time", "%v and %v", seen.CPU, base.CPU)
+	r.Claim(seen.PeakMB <= base.PeakMB+16, "and no more than 16 MB besides", "%.0f MB and %.0f MB", seen.PeakMB, base.PeakMB)
 	return nil
 }})
