A read that timed out while the process stood still proves nothing; accepted connections too

A trial on a scratch copy printed each read after the stall: a connection whose read deadline passed during it returned 'deadline exceeded' with the bytes of the stall unread, and the reader took that for an empty buffer (conn.take); of several connections that waited to be accepted, only the first was taken for old (listener.Accept).

Cause: Go's poller reports an expired deadline before it tries to read, so that after a stall it says nothing of the buffer; the accept queue's order says nothing of the age of what is behind its first.

Change: just after a stall nothing counts as empty; whatever is accepted then is as old as the stall, and what waited for descriptors as old as their want. The watch beats from its first moment: a start that waited for its address counted as a stall of 0.32 s.

The soak has routers write their recorders before they are stopped.

--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -70,6 +70,7 @@
 	post := func(at time.Time, what any) { eng.Post(at, what) }
 	start := time.Now()
 	monitor := newMonitor(c.Name, recorderFolder, log)
+	go watchStalls(context.Background(), monitor, log)
 	stores := newStores(own, c, lim, start, post, log)
 	pool := back.New(lim, c.Names, c.Rules.Reports == rules.ViaProbe, stores.inner(post), log)
 	eng = engine.New(c.Rules, c.Seed, lim.Queue, start, stores.over(pool),
@@ -107,7 +108,6 @@
 		stores.summary(log)
 		doorsSummary(inForce.Load(), server, log)
 	})
-	go watchStalls(context.Background(), monitor, log)
 	go dumpAtSignal(dump, monitor, c.Name, recorderFolder, log)
 	go stores.run(context.Background())
 	go follower.Run(context.Background(), func(at time.Time, what any) { post(at, stores.told(what)) })
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -261,10 +261,10 @@
 func (c *conn) take(space []byte) error {
 	begun := time.Now()
 	n, err := system.Read(c.Conn, space)
-	now := time.Now()
-	came := c.server.guard.Watch().Earliest(c.empty, begun, now)
-	if n < len(space) {
-		c.empty = now // the system holds nothing more of it
+	now, watch := time.Now(), c.server.guard.Watch()
+	came := watch.Earliest(c.empty, begun, now)
+	if n < len(space) && watch.Arrived(now).Equal(now) {
+		c.empty = now // the system holds nothing more of it; just after a stall, it may still be handing on what came meanwhile
 	}
 	if n == 0 {
 		return err
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -90,12 +90,14 @@
 		begun := time.Now()
 		up, err := l.Listener.Accept()
 		now := time.Now()
-		came := s.guard.Watch().Earliest(s.accepted, begun, now)
-		if err == nil {
-			s.accepted = now
+		if now.Sub(begun) > s.shared.limits.Pause {
+			s.refusing = time.Time{} // nobody waited when the call began
 		}
 		switch {
 		case err != nil && system.Exhausted(err):
+			if s.refusing.IsZero() {
+				s.refusing = now
+			}
 			if c := s.overflow(l.Listener); c != nil {
 				return c, nil
 			}
@@ -108,7 +110,7 @@
 		}
 		s.spare.hold()
 		s.tell(admission.Event{Kind: admission.EventAccepted})
-		if c := s.arrive(up, came); c != nil {
+		if c := s.arrive(up, s.arrived(now)); c != nil {
 			return c, nil
 		}
 	}
@@ -154,6 +156,16 @@
 	return nil
 }
 
+// arrived is when a connection that is accepted now may have come, and its first request with it: it has waited while the process
+// stood still, or while there was no descriptor for it.
+func (s *Server) arrived(now time.Time) time.Time {
+	came := s.guard.Watch().Arrived(now)
+	if !s.refusing.IsZero() && s.refusing.Before(came) {
+		came = s.refusing
+	}
+	return came
+}
+
 // turnBackAtOnce answers what has come by now, or says so unasked, and waits for nothing: there are too many to be polite.
 func (s *Server) turnBackAtOnce(up net.Conn, wait time.Duration) {
 	l := &s.shared.limits
@@ -276,7 +288,7 @@
 			}
 			return nil
 		}
-		if c := s.arrive(up, s.accepted); c != nil { // room was made for it
+		if c := s.arrive(up, s.arrived(time.Now())); c != nil { // room was made for it
 			return c
 		}
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -33,7 +33,7 @@
 	keys     *Keys // none: connections are plain
 	spare    *spare
 	guard    *guard.Monitor
-	accepted time.Time // when the last connection was: the next has hardly waited for longer. The accepting goroutine's own.
+	refusing time.Time // since when there were no descriptors for those that wait to be accepted; the accepting goroutine's own
 	lag      func() time.Duration
 
 	Relieve func()       // if set, is called when no descriptor is left: others may have some to spare
@@ -64,7 +64,7 @@
 
 // New returns a server; what clients want goes to post.
 func New(l limits.Limits, n settings.Names, tariffs []rules.Tariff, d Doors, post func(at time.Time, what any) (taken bool), log *zap.Logger) *Server {
-	s := &Server{post: post, conns: map[admission.ConnID]*conn{}, start: time.Now(), accepted: time.Now(), log: log, keys: d.Keys, spare: newSpare(), lag: d.Lag}
+	s := &Server{post: post, conns: map[admission.ConnID]*conn{}, start: time.Now(), log: log, keys: d.Keys, spare: newSpare(), lag: d.Lag}
 	if s.lag == nil {
 		s.lag = func() time.Duration { return 0 }
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -288,6 +289,7 @@
 		all.Go(func() {
 			r.busy.Lock()
 			defer r.busy.Unlock()
+			r.dump()
 			w.fail(r.Stop())
 		})
 	}
@@ -405,6 +407,12 @@
 	w.options.Say("  kept in %s; the same plan again: --seed %d, or --plan %s", out, w.options.Seed, filepath.Join(out, "plan.txt"))
 }
 
+// dump has a router write its recorder out, for the case that the run has failed.
+func (r *router) dump() {
+	r.Signal(syscall.SIGUSR1)
+	time.Sleep(50 * time.Millisecond)
+}
+
 // setSoftLimit bounds the descriptors of a router's process, and returns what they were.
 func setSoftLimit(pid int, soft uint64) (before uint64, err error) {
 	var limit unix.Rlimit
--- a/internal/lab/soak/troubles.go
+++ b/internal/lab/soak/troubles.go
@@ -125,6 +125,7 @@
 func (w *world) stopRouter(i int, r *router) {
 	r.busy.Lock()
 	defer r.busy.Unlock()
+	r.dump()
 	w.record.with(func() { w.record.processes[i].stopped = append(w.record.processes[i].stopped, time.Now()) })
 	r.Signal(syscall.SIGTERM)
 	r.rest()
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -94,6 +94,15 @@
 	return at
 }
 
+// Arrived is when something may have arrived that waited in a queue of the system with others before it, and is taken now: now, or
+// the beginning of a stall that has just ended.
+func (w *Watch) Arrived(now time.Time) time.Time {
+	if from, _, stalled := w.last(now, lateAfter); stalled {
+		return from
+	}
+	return now
+}
+
 // Since says whether the process stood still at any time since a moment.
 func (w *Watch) Since(moment, now time.Time) bool {
 	_, until, stalled := w.last(now, now.Sub(moment))
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1020,14 +1020,15 @@
 	return 1
 }
 
-// oldest is the oldest copy that will do: 0 for the tariff's own limit, else younger than the last purge.
+// oldest is the oldest copy that will do: 0 for the tariff's own limit, else younger than the last purge. A purge
+// makes the tariff's limit stricter, never laxer.
 func (r *Router) oldest(v *view) time.Duration {
-	oldest := time.Duration(0)
+	oldest, fresh := time.Duration(0), r.set.Tariffs[v.tariff].Fresh
 	for _, p := range r.purges {
 		if r.now-p.at > r.set.PurgeDone || p.object != v.object && (p.object != 0 || p.group != v.group) {
 			continue
 		}
-		if age := max(ms, r.now-p.at-ms); oldest == 0 || age < oldest {
+		if age := max(ms, r.now-p.at-ms); (fresh == 0 || age < fresh) && (oldest == 0 || age < oldest) {
 			oldest = age
 		}
 	}
