--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -67,6 +67,7 @@
 	open  map[string]*Request
 	heard time.Time // when something last came
 	over  bool
+	deaf  interval // when it last read nothing
 }
 
 const openMost = 24
@@ -89,7 +90,7 @@
 	if len(k.conns) >= usual || len(k.conns) > 0 && k.rng.Float64() < 0.95 {
 		c := k.conns[k.rng.IntN(len(k.conns))]
 		c.mu.Lock()
-		room := len(c.open) < openMost
+		room := c.unanswered() < openMost
 		c.mu.Unlock()
 		if room {
 			return c
@@ -198,7 +199,7 @@
 	text := c.command(r, tag)
 	r.Begun = time.Now()
 	c.open[tag] = r
-	r.Unread = len(c.open) == 1
+	r.Unread = c.unanswered() == 1
 	c.clients.record.with(func() { c.clients.record.requests[r.ID] = r })
 	_ = c.conn.SetWriteDeadline(r.Begun.Add(time.Second))
 	for pieces && len(text) > 20 {
@@ -218,6 +219,16 @@
 	return tag, true
 }
 
+// unanswered is how many requests are open; those answered lately are kept, for a second answer would be seen.
+func (c *connection) unanswered() (n int) {
+	for _, r := range c.open {
+		if r.Answers == 0 && r.Cancelled.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // cancel takes a request back that has no answer yet.
 func (c *connection) cancel(tag string, r *Request) {
 	c.mu.Lock()
@@ -256,7 +267,15 @@
 // hold reads nothing for a while; meanwhile it sends much, and takes some of it back.
 func (c *connection) hold() {
 	c.reading.Lock()
-	defer c.reading.Unlock()
+	defer func() {
+		c.mu.Lock()
+		c.deaf = interval{c.deaf.from, time.Now()}
+		c.mu.Unlock()
+		c.reading.Unlock()
+	}()
+	c.mu.Lock()
+	c.deaf = interval{from: time.Now()}
+	c.mu.Unlock()
 	for range 8 {
 		r := c.clients.newRequest()
 		r.Timeout = 2 * time.Second
@@ -316,6 +335,7 @@
 		return
 	}
 	r.Answered, r.Word = now, string(args[1])
+	r.Deaf = c.deaf.meets(r.Begun, now)
 	if len(args) > 2 {
 		r.Current = strings.Contains(string(args[2]), "unchanged=1")
 	}
--- a/internal/lab/soak/record.go
+++ b/internal/lab/soak/record.go
@@ -44,6 +44,7 @@
 	Reset   bool      // by a reset
 	Unread  bool      // nothing came on the connection since the request was sent, and nothing else was open
 	Because string    // why the client closed it
+	Deaf    bool      // its client read nothing for a while meanwhile
 }
 
 // Deadline is when its client stops waiting.
@@ -85,6 +86,7 @@
 
 // Record is all that is known of a run.
 type Record struct {
+	began     time.Time // when the first trouble's time counts from
 	mu        sync.Mutex
 	requests  map[string]*Request
 	attempts  []Attempt
@@ -115,7 +117,7 @@
 }
 
 func newRecord(routers int) *Record {
-	r := &Record{requests: map[string]*Request{}, runs: map[string]int{}, processes: make([]process, routers),
+	r := &Record{began: time.Now(), requests: map[string]*Request{}, runs: map[string]int{}, processes: make([]process, routers),
 		told: make([]map[int]time.Time, routers)}
 	for i := range r.told {
 		r.told[i] = map[int]time.Time{}
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -68,12 +68,13 @@
 	front  *proxy // what routers reach
 	ln     net.Listener
 
-	mu    sync.Mutex
-	mode  mode
-	held  map[uint64]copied
-	conns map[net.Conn]bool
-	rng   *rand.Rand
-	gone  bool
+	mu     sync.Mutex
+	mode   mode
+	held   map[uint64]copied
+	conns  map[net.Conn]bool
+	rng    *rand.Rand
+	gone   bool
+	drains int // troubles that have it drain
 }
 
 type copied struct {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -170,7 +170,13 @@
 	return s, nil
 }
 
+// line is what the list says of the server: it drains as long as any trouble has it drain.
 func (s *server) line(state string) depot.Line {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == "ready" && s.drains > 0 {
+		state = "draining"
+	}
 	return depot.Line{UID: s.uid, Address: s.front.address(), Kind: s.kind, State: state, Weight: s.weight}
 }
 
@@ -247,6 +253,7 @@
 // play plays the plan while clients ask.
 func (w *world) play(plan []Trouble, long time.Duration) {
 	begun := time.Now()
+	w.record.with(func() { w.record.began = begun })
 	end := begun.Add(long)
 	var asking sync.WaitGroup
 	for _, r := range w.routers {
--- a/internal/lab/soak/troubles.go
+++ b/internal/lab/soak/troubles.go
@@ -201,6 +201,9 @@
 	s.mu.Lock()
 	s.held = map[uint64]copied{}
 	s.mu.Unlock()
+	if s.isGone() {
+		return
+	}
 	boot := time.Now()
 	line := s.line("ready")
 	line.Boot = boot
@@ -215,6 +218,7 @@
 }
 
 func (w *world) drainServer(s *server, long time.Duration) {
+	s.drain(1)
 	at := time.Now()
 	no := w.discovery.list(false, s.line("draining"))
 	time.Sleep(long)
@@ -222,7 +226,22 @@
 	w.record.with(func() {
 		w.record.leaves = append(w.record.leaves, leave{server: s.uid, event: no, at: at, until: back})
 	})
-	w.discovery.list(false, s.line("ready"))
+	s.drain(-1)
+	if !s.isGone() {
+		w.discovery.list(false, s.line("ready"))
+	}
+}
+
+func (s *server) drain(by int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drains += by
+}
+
+func (s *server) isGone() bool {
+	s.site.mu.Lock()
+	defer s.site.mu.Unlock()
+	return s.gone
 }
 
 // replaceServer has a cache server vanish, and a new one, cold, take its address.
@@ -265,7 +284,9 @@
 	old := s.front
 	s.front = p
 	w.site.mu.Unlock()
-	w.discovery.list(false, s.line("ready"))
+	if !s.isGone() {
+		w.discovery.list(false, s.line("ready"))
+	}
 	time.Sleep(3 * time.Second)
 	_ = old.ln.Close()
 }
