A pause of a connection ends before the time of a request that waits there

Cause: conn.parse held the input until the pause that admission wanted was over, whatever came meanwhile; nobody looked at the time of what waited.

Change: what is held is looked through each 20 ms already; the least time among its requests now ends the pause 0.1 s before it is up, so that they are refused, or served, in time.

Ruled out: input that is held because the client reads nothing: no answer could reach it.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -161,16 +161,14 @@
 // parse takes what has come, unless it is held. Where something of it came long ago, the rest of what the client has sent is looked
 // through first: it may have taken it back since, or left. More says that something in the ring may be left to take.
 func (c *conn) parse(now time.Time) (bad error, more bool) {
-	l := &c.server.shared.limits
 	c.mu.Lock()
 	if wait := c.paused.Swap(0); wait > 0 {
 		c.opens = now.Add(time.Duration(wait))
 	}
 	if now.Before(c.opens) || c.session.full() {
-		if now.Sub(c.looked) >= l.Watch {
-			c.looked = now
-			c.session.ahead()
-		}
+		c.lookAhead(now)
+	}
+	if now.Before(c.opens) || c.session.full() {
 		c.unlock()
 		return nil, true
 	}
@@ -192,6 +190,19 @@
 	return bad, more
 }
 
+// lookAhead looks now and then through what is held. A pause ends before the time of a request among it is up: what is to be refused is
+// refused in time.
+func (c *conn) lookAhead(now time.Time) {
+	l := &c.server.shared.limits
+	if now.Sub(c.looked) < l.Watch {
+		return
+	}
+	c.looked = now
+	if least := c.session.ahead(); !c.came.IsZero() && c.came.Add(least).Sub(now) < l.Hurry {
+		c.opens = now
+	}
+}
+
 // catchUp reads what the system holds of the connection by now, and gives up what was taken back in it. Where there is more of it
 // than the ring has room for, what came long ago is refused: nobody can tell whether its client still waits.
 func (c *conn) catchUp() {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -148,20 +148,27 @@
 	return s.idle() && s.in.Len() == 0 && (s.asked || !polite || now.Sub(s.begun) >= s.shared.limits.Polite)
 }
 
-// ahead gives up what the client takes back in messages that wait to be taken: it has gone, though its input is held.
-func (s *session) ahead() {
+// ahead gives up what the client takes back in messages that wait to be taken: it has gone, though its input is held. It returns how
+// long the client of a request among them waits for its answer, at the least.
+func (s *session) ahead() (least time.Duration) {
+	least = s.shared.limits.Timeout
 	in, dec := s.in.Copy(), s.dec.Fresh()
 	for {
 		args, err := dec.Next(&in)
 		if args == nil || err != nil {
-			return
+			return least
 		}
-		if len(args) < 2 || string(args[0]) != "UNDO" {
-			continue
-		}
-		number, err := strconv.ParseUint(string(args[1]), 10, 64)
-		if _, open := s.open[engine.Tag(number)]; open && err == nil {
-			s.leave(engine.Tag(number), guard.EndCancelled)
+		switch {
+		case len(args) < 2:
+		case string(args[0]) == "UNDO":
+			number, err := strconv.ParseUint(string(args[1]), 10, 64)
+			if _, open := s.open[engine.Tag(number)]; open && err == nil {
+				s.leave(engine.Tag(number), guard.EndCancelled)
+			}
+		case string(args[0]) == "DO":
+			if a := s.ask(args[2:]); a != nil {
+				least = min(least, a.Left)
+			}
 		}
 	}
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -51,6 +51,7 @@
 	Stuck       time.Duration // until a peer that reads nothing is cut off
 	Frame       time.Duration // until a request to a server that has begun to be written must be whole, or never becomes so
 	Stale       time.Duration // a client's request that is older when it is read may have been cancelled behind it
+	Hurry       time.Duration // a pause of a client's connection ends so long before the time of a request that waits there
 	Behind      time.Duration // how long it is then looked for what stands behind it
 	StoreSilent time.Duration // until a store of which nothing is heard is cut off
 	Begin       time.Duration // until a leg is on its way, or never goes: the rules count a send from its first byte
@@ -105,7 +106,7 @@
 		ClientIn: 64 << 10, ClientOut: 32 << 10, NodeIn: 256 << 10, NodeOut: 64 << 10,
 		Copies: t.MemoryMB << 20 / 4, Answers: int64(t.MemoryMB) << 20 / 6, Events: 4 << 20,
 		Open: 32, Waiting: 64, Queue: 4096, Lines: 1024,
-		Connect: t.Connect, Slow: t.Connect / 8, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, Frame: 100 * time.Millisecond, Stale: 50 * time.Millisecond, Behind: time.Millisecond, Polite: 150 * time.Millisecond, Watch: 20 * time.Millisecond, StoreSilent: time.Second,
+		Connect: t.Connect, Slow: t.Connect / 8, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, Frame: 100 * time.Millisecond, Stale: 50 * time.Millisecond, Behind: time.Millisecond, Hurry: 100 * time.Millisecond, Polite: 150 * time.Millisecond, Watch: 20 * time.Millisecond, StoreSilent: time.Second,
 		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
 		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Halt: 500 * time.Millisecond, Page: 4 * time.Second, Rewind: 3 * time.Second, Dial: time.Second, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
 		Pause: 5 * time.Millisecond,
