--- a/cmd/fennelarch/serve_test.go
+++ b/cmd/fennelarch/serve_test.go
@@ -218,16 +218,34 @@
 }
 
 func newFleet(t *testing.T, caches ...*node) *fleet {
+	f := prepareFleet(t, caches...)
+	f.start()
+	return f
+}
+
+// prepareFleet is a fleet whose router has not started yet.
+func prepareFleet(t *testing.T, caches ...*node) *fleet {
 	f := &fleet{t: t, board: newBoard(t)}
 	f.parent, f.origin = newNode(t, "s-parent", "parent", missing), newNode(t, "s-origin", "origin", hit)
 	f.board.list(true, "ready", append(caches, f.parent, f.origin)...)
 	f.listen = freeAddress(t)
 	f.config = filepath.Join(t.TempDir(), "config.json")
 	f.configure(f.board, "")
-	f.start()
 	return f
 }
 
+// configureKnown writes the configuration with all that the bulletin has told by now.
+func (f *fleet) configureKnown() {
+	text, err := os.ReadFile(f.config)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	whole := strings.Replace(string(text), f.board.First(), f.board.Known(), 1)
+	if err := os.WriteFile(f.config, []byte(whole), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 // start starts the router and waits until it listens.
 func (f *fleet) start() {
 	t := f.t
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -36,7 +36,6 @@
 	busy    bool
 	opens   time.Time // nothing is taken of it before
 	stalled bool      // nor until its client has read
-	came    time.Time // the earliest moment at which the first of what was not taken yet may have come
 	looked  time.Time // when it was last looked through
 
 	empty time.Time // when the system last held nothing of it that was not read; the reader's own, as is
@@ -172,15 +171,8 @@
 		c.unlock()
 		return nil, true
 	}
-	came := c.came
-	if c.came = (time.Time{}); came.IsZero() {
-		came = now
-	}
-	bad = c.session.parse(now, came)
+	bad = c.session.parse(now)
 	more = c.session.full()
-	if more && c.session.in.Len() > 0 {
-		c.came = came // the rest of it is no younger
-	}
 	stale := c.session.stale(now)
 	c.unlock()
 	if stale && bad == nil {
@@ -198,7 +190,7 @@
 		return
 	}
 	c.looked = now
-	if least := c.session.ahead(); !c.came.IsZero() && c.came.Add(least).Sub(now) < l.Hurry {
+	if first := c.session.ahead(); !first.IsZero() && first.Sub(now) < l.Hurry {
 		c.opens = now
 	}
 }
@@ -282,10 +274,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.came.IsZero() {
-		c.came = came
-	}
-	c.session.put(n, now)
+	c.session.put(n, now, came)
 	return nil // an error comes again
 }
 
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -91,6 +91,8 @@
 
 	admits func(admission.Event) (wait time.Duration, taken bool) // asks whether a view may be opened, and tells of its end
 
+	arrivals arrivals // of what is in the ring
+
 	asked bool      // a whole message has come
 	begun time.Time // when the one that is coming began, or the last one or the connection came
 }
@@ -112,17 +114,17 @@
 // space is where what comes next is to be read into.
 func (s *session) space() []byte { return s.in.Tail() }
 
-// put says how much came and when; nothing of it is taken yet.
-func (s *session) put(n int, now time.Time) {
+// put says how much is read now, and when it may have come at the earliest; nothing of it is taken yet.
+func (s *session) put(n int, now, came time.Time) {
 	if s.asked && s.in.Len() == 0 {
 		s.begun = now
 	}
 	s.in.Commit(n)
+	s.arrivals.add(n, came)
 }
 
-// parse takes the whole messages that have come, at a moment or after it. Of a connection that is over, none: its client has
-// gone.
-func (s *session) parse(now, came time.Time) error {
+// parse takes the whole messages that have come. Of a connection that is over, none: its client has gone.
+func (s *session) parse(now time.Time) error {
 	for !s.closed && !s.full() {
 		args, err := s.dec.Next(&s.in)
 		if err == nil && args != nil {
@@ -130,7 +132,7 @@
 				s.asked = true
 				s.admits(admission.Event{Kind: admission.EventAsked})
 			}
-			err = s.command(args, came)
+			err = s.command(args, s.arrivals.of(s.in.Len()-s.dec.Taken()))
 		}
 		if err != nil {
 			s.refuse()
@@ -148,15 +150,14 @@
 	return s.idle() && s.in.Len() == 0 && (s.asked || !polite || now.Sub(s.begun) >= s.shared.limits.Polite)
 }
 
-// ahead gives up what the client takes back in messages that wait to be taken: it has gone, though its input is held. It returns how
-// long the client of a request among them waits for its answer, at the least.
-func (s *session) ahead() (least time.Duration) {
-	least = s.shared.limits.Timeout
+// ahead gives up what the client takes back in messages that wait to be taken: it has gone, though its input is held. It returns when
+// the first of the requests among them must have its answer, zero if there is none.
+func (s *session) ahead() (first time.Time) {
 	in, dec := s.in.Copy(), s.dec.Fresh()
 	for {
 		args, err := dec.Next(&in)
 		if args == nil || err != nil {
-			return least
+			return first
 		}
 		switch {
 		case len(args) < 2:
@@ -166,8 +167,12 @@
 				s.leave(engine.Tag(number), guard.EndCancelled)
 			}
 		case string(args[0]) == "DO":
-			if a := s.ask(args[2:]); a != nil {
-				least = min(least, a.Left)
+			a := s.ask(args[2:])
+			if a == nil {
+				continue
+			}
+			if end := s.arrivals.look(in.Len() - dec.Taken()).Add(a.Left); first.IsZero() || end.Before(first) {
+				first = end
 			}
 		}
 	}
--- a/internal/lab/soak/discovery.go
+++ b/internal/lab/soak/discovery.go
@@ -29,6 +29,7 @@
 
 	mu     sync.Mutex
 	items  []string
+	times  []time.Time // of the items
 	change chan struct{}
 	ill    ill
 	end    chan struct{} // closed when the ill is over
@@ -97,6 +98,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.items = append(d.items, fmt.Sprintf(`{"no":%d,%s}`, len(d.items)+1, text))
+	d.times = append(d.times, time.Now())
 	close(d.change)
 	d.change = make(chan struct{})
 	return len(d.items)
@@ -116,6 +118,17 @@
 	return d.tell(fmt.Sprintf(`"roster":{"rev":1,"all":%v,"targets":[%s]}`, all, strings.Join(targets, ",")))
 }
 
+// history is all events, with their times.
+func (d *discovery) history(began time.Time) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var text strings.Builder
+	for i, item := range d.items {
+		fmt.Fprintf(&text, "%v %s\n", d.times[i].Sub(began).Round(time.Millisecond), item)
+	}
+	return text.String()
+}
+
 func (d *discovery) known() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -52,7 +52,7 @@
 	uid     string
 	record  *Record
 	weather *weather
-	called  func() // is told of each request
+	called  func(id string) // is told of each request
 	ln      net.Listener
 
 	mu       sync.Mutex
@@ -61,7 +61,7 @@
 	conns    map[net.Conn]bool
 }
 
-func newProxy(uid, address, upstream string, record *Record, w *weather, called func()) (*proxy, error) {
+func newProxy(uid, address, upstream string, record *Record, w *weather, called func(id string)) (*proxy, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -197,7 +197,7 @@
 	a := Attempt{ID: string(args[1]), Server: p.uid, Source: fields["next"], First: first, Whole: whole,
 		Deadline: time.Duration(ms) * time.Millisecond}
 	p.record.with(func() { p.record.attempts = append(p.record.attempts, a) })
-	p.called()
+	p.called(a.ID)
 }
 
 // answers passes on what the server says, whole frame by whole frame unless a trouble says otherwise.
--- a/internal/lab/soak/record.go
+++ b/internal/lab/soak/record.go
@@ -112,10 +112,16 @@
 	server string
 	event  int
 	at     time.Time
-	calls  []time.Time
+	calls  []call
 	weight float64
 }
 
+// call is a request that reached a cold server, by itself or as a fill for another.
+type call struct {
+	id string
+	at time.Time
+}
+
 func newRecord(routers int) *Record {
 	r := &Record{began: time.Now(), requests: map[string]*Request{}, runs: map[string]int{}, processes: make([]process, routers),
 		told: make([]map[int]time.Time, routers)}
--- a/internal/lab/soak/server.go
+++ b/internal/lab/soak/server.go
@@ -225,7 +225,7 @@
 	}
 	s.sleep(until)
 	begun := time.Now()
-	c, how := s.find(object, fields["next"], oldest, strings.Contains(fields["ways"], "held"))
+	c, how := s.find(id, object, fields["next"], oldest, strings.Contains(fields["ways"], "held"))
 	if how == "not_there" || how == "turned_away" {
 		return words(id, "404", "how="+how, "")
 	}
@@ -243,7 +243,7 @@
 }
 
 // find is what the server holds, or what it fills from the source that is named.
-func (s *server) find(object uint64, next string, oldest time.Duration, held bool) (copied, string) {
+func (s *server) find(id string, object uint64, next string, oldest time.Duration, held bool) (copied, string) {
 	if s.kind == depot.Origin {
 		return s.site.fresh(object), "local"
 	}
@@ -257,7 +257,7 @@
 	if source == nil || source == s {
 		return copied{}, "not_there"
 	}
-	s.site.called(source) // a fill counts as a request at its source
+	s.site.called(source, id) // a fill counts as a request at its source
 	source.mu.Lock()
 	m := source.mode
 	source.mu.Unlock()
@@ -268,7 +268,7 @@
 	if source.kind == depot.Parent && !held {
 		above = s.site.origin.uid
 	}
-	c, how := source.find(object, above, oldest, held)
+	c, how := source.find(id, object, above, oldest, held)
 	if how != "local" && how != "pulled" {
 		return c, how
 	}
@@ -342,12 +342,12 @@
 }
 
 // called counts a request at a server that started a while ago, cold.
-func (s *site) called(at *server) {
+func (s *site) called(at *server, id string) {
 	now := time.Now()
 	s.record.with(func() {
 		for i := range s.record.colds {
 			if c := &s.record.colds[i]; c.server == at.uid {
-				c.calls = append(c.calls, now)
+				c.calls = append(c.calls, call{id, now})
 			}
 		}
 	})
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -159,7 +159,7 @@
 	if s.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
-	s.front, err = newProxy(uid, address, s.ln.Addr().String(), w.record, w.weather, func() { w.site.called(s) })
+	s.front, err = newProxy(uid, address, s.ln.Addr().String(), w.record, w.weather, func(id string) { w.site.called(s, id) })
 	if err != nil {
 		return nil, err
 	}
@@ -402,6 +402,7 @@
 	for _, r := range w.routers {
 		_ = os.WriteFile(filepath.Join(out, r.Name+".log"), []byte(r.Log()), 0o644)
 	}
+	_ = os.WriteFile(filepath.Join(out, "events.txt"), []byte(w.discovery.history(w.record.began)), 0o644)
 	recorders, _ := filepath.Glob(filepath.Join(w.folder, "recorder-*.txt"))
 	for _, path := range recorders {
 		if text, err := os.ReadFile(path); err == nil {
--- a/internal/lab/soak/troubles.go
+++ b/internal/lab/soak/troubles.go
@@ -275,7 +275,7 @@
 
 // moveServer has a cache server be reached at another address; the old one goes on for what is open there.
 func (w *world) moveServer(s *server) {
-	p, err := newProxy(s.uid, "127.0.0.1:0", s.ln.Addr().String(), w.record, w.weather, func() { w.site.called(s) })
+	p, err := newProxy(s.uid, "127.0.0.1:0", s.ln.Addr().String(), w.record, w.weather, func(id string) { w.site.called(s, id) })
 	if err != nil {
 		w.fail(err)
 		return
--- a/internal/resp/frame.go
+++ b/internal/resp/frame.go
@@ -33,6 +33,9 @@
 // Fresh is a decoder with the same bounds that has seen nothing.
 func (d *Decoder) Fresh() Decoder { return Decoder{Args: d.Args, Size: d.Size, Most: d.Most} }
 
+// Taken is the length of the frame that was returned last.
+func (d *Decoder) Taken() int { return d.at }
+
 // Next returns the strings of the next whole frame, or none if more bytes are needed. They hold until the next
 // call.
 func (d *Decoder) Next(r *Ring) ([][]byte, error) {
