What was told before a router heard of it has no grace left

Cause: Router.update took the moment of hearing for that of telling. For events of the configuration, of the first poll, and of polls that are answered at once after an outage, that is seconds or minutes late; a server first seen as it drains counted from the start of the process.

Change: a list comes with its age: of what the configuration and the first poll bring, nothing is known, so no grace is left; what lay there when a poll asked may be as old as the answer before it; what came while a poll waited is new. A server that is not ready when it is first heard of has no grace.

Ruled out: purges, whose age comes from their stamps (stamps.go); relays from former owners that are still ready, which break no rule.

Related paths: connections to servers that leave must begin within a tenth of the grace from the decision on, and no grace means no decision; the guard refuses what is past its bound.

--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -87,10 +87,11 @@
 	pool.Short, server.Relieve, pool.Guard = server.Short, pool.Relieve, monitor
 
 	follower := bulletin.New(lim, c.Names, c.Bulletin, log)
+	follower.Watch = monitor.Watch()
 	stores.follow(follower)
 	if len(c.Known) > 0 {
 		known, cut := bulletin.Known(c.Known)
-		err := follower.Take(&known, func(what any) { eng.Handle(0, engine.Event{What: stores.told(what)}) })
+		err := follower.Take(&known, engine.LongTold, func(what any) { eng.Handle(0, engine.Event{What: stores.told(what)}) })
 		if err := errors.Join(cut, err); err != nil { // the bulletin tells the rest
 			log.Warn("configuration: known: not all of it can be read", zap.Error(err))
 		}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -23,6 +23,7 @@
 	"fennelarch/internal/engine"
 	"fennelarch/internal/limits"
 	"fennelarch/internal/settings"
+	"fennelarch/internal/stall"
 	"fennelarch/internal/system"
 	"fennelarch/rules"
 )
@@ -83,15 +84,17 @@
 
 // Follower follows the bulletin.
 type Follower struct {
-	limits limits.Limits
-	names  settings.Names
-	log    *zap.Logger
-	last   int64     // number of the last event that was passed on
-	gap    int64     // number before which one is missing, as seen in the last page
-	behind time.Time // since when pages end before the last event, zero: they do not
+	limits  limits.Limits
+	names   settings.Names
+	log     *zap.Logger
+	last    int64     // number of the last event that was passed on
+	gap     int64     // number before which one is missing, as seen in the last page
+	current time.Time // when all that was told by then was last known, zero: not in this process
+	behind  time.Time // since when pages end before the last event, zero: they do not
 
 	Current func(asOf time.Time) // if set, is called when all that was told before a moment has been passed on
 	Gap     func()               // if set, is called when something was told that will never be
+	Watch   *stall.Watch         // if set, notices that the process stood still while a poll waited
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu      sync.Mutex
@@ -130,8 +133,8 @@
 // Take passes on the events of a page that are new. Where one is missing, what follows waits for the next page; if it is
 // missing there too, it is gone. Numbers that stay behind for long are those of a new bulletin, whose first event is a whole list;
 // for a moment, they are those of one that has not caught up yet, and tell what is no longer so. An event that can't be read is
-// passed over, and told in the end.
-func (f *Follower) Take(p *Page, pass func(what any)) (unread error) {
+// passed over, and told in the end. Ago is how long ago the events may have been told.
+func (f *Follower) Take(p *Page, ago time.Duration, pass func(what any)) (unread error) {
 	switch now := time.Now(); {
 	case p.No <= 0 || p.No >= f.last:
 		f.behind = time.Time{}
@@ -164,6 +167,10 @@
 			unread = errors.Join(unread, fmt.Errorf("event %d: %w", it.No, err))
 			continue
 		}
+		if list, is := what.(engine.List); is {
+			list.Ago = ago
+			what = list
+		}
 		if what != nil {
 			pass(what)
 		}
@@ -284,15 +291,29 @@
 	if cut == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<10))
 	}
-	if err := cmp.Or(f.Take(&p, pass), cut); err != nil {
+	now := time.Now()
+	if err := cmp.Or(f.Take(&p, f.age(begun, now), pass), cut); err != nil {
 		return err
 	}
+	f.current = now
 	if f.Current != nil && f.last >= p.No {
 		f.Current(begun)
 	}
 	return nil
 }
 
+// age is how long ago what a poll brings may have been told: if it was answered soon, the events were there already, and may have come
+// at any time since the last one that was answered; else they came while it waited.
+func (f *Follower) age(begun, now time.Time) time.Duration {
+	switch {
+	case f.current.IsZero():
+		return engine.LongTold
+	case now.Sub(begun) < f.limits.Prompt || f.Watch.Since(begun, now):
+		return now.Sub(f.current)
+	}
+	return 0
+}
+
 // steady reads what keeps coming: the watch goes off where it stands still for too long, or goes on for too long.
 type steady struct {
 	io.Reader
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -139,8 +139,12 @@
 type List struct {
 	Nodes []Node
 	All   bool
+	Ago   time.Duration // how long ago it may have been told, before it was heard
 }
 
+// LongTold is the age of what was told before this process began.
+const LongTold = 24 * time.Hour
+
 // Purge tells that an object, or a group where it is 0, was purged.
 type Purge struct {
 	Object rules.ObjectID
@@ -424,7 +428,7 @@
 		e.members = append(e.members, m)
 	}
 	e.monitor.Record(flightrec.Entry{Event: flightrec.ListReceived, Value: int64(len(l.Nodes))})
-	ev := rules.Event{Kind: rules.EventList, List: rules.ListChanges, Members: e.members}
+	ev := rules.Event{Kind: rules.EventList, List: rules.ListChanges, Members: e.members, Ago: l.Ago}
 	if l.All {
 		ev.List = rules.ListFull
 	}
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -324,6 +324,11 @@
 	if len(args) < 2 {
 		return
 	}
+	if string(args[0]) == "-BUSY" { // told unasked: the connection has no place, and nothing of it was read
+		for _, r := range c.open {
+			r.TurnedAway = r.Answers == 0
+		}
+	}
 	r := c.open[string(args[0])]
 	if r == nil {
 		return
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -186,6 +186,9 @@
 	if !q.Ended.IsZero() && q.Unread && q.Ended.Sub(q.Begun) <= crossing+r.lag(q.Ended) {
 		return "", "crossed"
 	}
+	if q.TurnedAway {
+		return "", "turned away"
+	}
 	if q.Ended.IsZero() {
 		return "lost", "no answer"
 	}
@@ -201,6 +204,11 @@
 			return "killed"
 		}
 	}
+	for _, i := range p.down {
+		if i.meets(q.Begun, q.Begun) {
+			return "down"
+		}
+	}
 	for _, i := range p.frozen {
 		if i.meets(q.Begun, until) {
 			return "frozen"
--- a/internal/lab/soak/troubles.go
+++ b/internal/lab/soak/troubles.go
@@ -144,9 +144,11 @@
 	r.busy.Lock()
 	defer r.busy.Unlock()
 	w.record.with(func() { w.record.processes[i].killed = append(w.record.processes[i].killed, time.Now()) })
+	from := time.Now()
 	r.Kill()
 	r.clients.quiet.Store(true)
 	w.start(i, r)
+	w.record.with(func() { w.record.processes[i].down = append(w.record.processes[i].down, interval{from, time.Now()}) })
 	r.resume()
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -61,6 +61,7 @@
 	Silent      time.Duration // until a poll is given up
 	Halt        time.Duration // until one is whose answer has begun and does not go on
 	Page        time.Duration // until one is whose answer goes on and on: what it told is taken then
+	Prompt      time.Duration // a poll that is answered sooner has not waited for what it brings
 	Rewind      time.Duration // until a bulletin that stays behind what was told is taken for a new one
 	Dial        time.Duration // until a connection to the bulletin is up, or another is tried
 	Again       time.Duration // the first wait after a failed poll; it doubles
@@ -108,7 +109,7 @@
 		Open: 32, Waiting: 64, Queue: 4096, Lines: 1024,
 		Connect: t.Connect, Slow: t.Connect / 8, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, Frame: 100 * time.Millisecond, Stale: 50 * time.Millisecond, Behind: time.Millisecond, Hurry: 100 * time.Millisecond, Polite: 150 * time.Millisecond, Watch: 20 * time.Millisecond, StoreSilent: time.Second,
 		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
-		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Halt: 500 * time.Millisecond, Page: 4 * time.Second, Rewind: 3 * time.Second, Dial: time.Second, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
+		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Halt: 500 * time.Millisecond, Page: 4 * time.Second, Rewind: 3 * time.Second, Prompt: 500 * time.Millisecond, Dial: time.Second, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
 		Pause: 5 * time.Millisecond,
 		// The platform kills a router no sooner than the longest hard limit, or 3 s if that is less, and 0.7 s more.
 		Linger: 700 * time.Millisecond, Stop: min(t.LongestHard, 3*time.Second) + 450*time.Millisecond,
--- a/rules/iface.go
+++ b/rules/iface.go
@@ -160,7 +160,7 @@
 	EventLegEnd                   // View Leg Node Outcome Took Final Note Waited Report
 	EventStream                   // View Leg Node Took
 	EventGone                     // View
-	EventList                     // List Members
+	EventList                     // List Members Ago
 	EventPurge                    // Object Group Ago
 	EventProbed                   // Node Outcome Took Report
 	EventTimer                    // Timer
@@ -261,7 +261,7 @@
 
 	List    ListKind
 	Members []Member
-	Ago     time.Duration
+	Ago     time.Duration // how long ago it may have been told, or was issued
 	Timer   uint64
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -445,9 +445,9 @@
 }
 
 // update keeps the time at which a node was first told to leave.
-func (r *Router) update(d *node, s State) {
+func (r *Router) update(d *node, s State, told time.Duration) {
 	if s != Ready && d.state == Ready {
-		d.told = r.now
+		d.told = told
 	}
 	d.state = s
 }
@@ -491,6 +491,7 @@
 // enlist takes what the list says of the nodes. Caches of other locations are passed over.
 func (r *Router) enlist(e *Event) {
 	r.walks++
+	told := r.now - e.Ago
 	for i := range e.Members {
 		m := &e.Members[i]
 		n, known := r.index[m.Node]
@@ -507,7 +508,8 @@
 			}
 			n = r.place()
 			r.index[m.Node] = n
-			r.nodes[n] = node{id: m.Node, role: k, zone: m.Zone, cell: m.Cell, started: LongAgo, heard: r.now}
+			// One that is not ready when it is first heard of was told to leave at some time before.
+			r.nodes[n] = node{id: m.Node, role: k, zone: m.Zone, cell: m.Cell, started: LongAgo, heard: r.now, told: LongAgo}
 			if r.set.WeightIsLink {
 				r.nodes[n].pipe.room = m.Weight // as told, until transfers show it
 			}
@@ -520,11 +522,11 @@
 		if m.Started > d.started {
 			d.started, d.health = m.Started, health{}
 		}
-		r.update(d, m.State)
+		r.update(d, m.State, told)
 	}
 	for n := range r.nodes {
 		if d := &r.nodes[n]; e.List != ListChanges && d.seen != r.walks && d.role != roleOwn {
-			r.update(d, Gone)
+			r.update(d, Gone, told)
 		}
 	}
 }
