A want of descriptors for a moment turns nobody away

Cause: listener.Accept and conn.run took the first such error for a lasting want.

Change: it is tried again each 5 ms; only what lasts for 0.1 s is a want for accepting, and from the second failure on for dialling. Who waits to be accepted loses nothing by it, as the age of its request counts from then.

Soak: a server that takes another's address is of the same group, as a router that has not heard of it repeats by what it knows; a client that reads nothing can't tell when its connection ended.

--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -448,7 +448,7 @@
 	begun := time.Now()
 	up, err := c.pool.dial("tcp", address, l.Connect)
 	for n := 0; n < l.Redials && c.again(err, time.Since(begun)); n++ {
-		if system.Exhausted(err) {
+		if n > 0 && system.Exhausted(err) { // not for the moment only
 			c.pool.Relieve()
 			if c.pool.Short != nil {
 				c.pool.Short() // others may make room: legs under way come first
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -98,6 +98,10 @@
 			if s.refusing.IsZero() {
 				s.refusing = now
 			}
+			if now.Sub(s.refusing) < s.shared.limits.Shortage { // it may be for a moment: who waits to be accepted loses nothing
+				time.Sleep(s.shared.limits.Pause)
+				continue
+			}
 			if c := s.overflow(l.Listener); c != nil {
 				return c, nil
 			}
@@ -110,7 +114,11 @@
 		}
 		s.spare.hold()
 		s.tell(admission.Event{Kind: admission.EventAccepted})
-		if c := s.arrive(up, s.arrived(now)); c != nil {
+		c := s.arrive(up, s.arrived(now))
+		if s.spare.file != nil {
+			s.refusing = time.Time{} // what waited for descriptors is taken one by one; the next has hardly waited longer
+		}
+		if c != nil {
 			return c, nil
 		}
 	}
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -255,6 +255,7 @@
 	for _, r := range c.open {
 		if r.Answers == 0 {
 			r.Left, r.Because = now, why
+			r.Deaf = c.deaf.meets(r.Begun, now)
 		}
 	}
 	if reset {
@@ -368,6 +369,7 @@
 	now := time.Now()
 	for _, r := range c.open {
 		if r.Answers == 0 {
+			r.Deaf = c.deaf.meets(r.Begun, now)
 			r.Ended, r.Reset = now, errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 		}
 	}
--- a/internal/lab/soak/troubles.go
+++ b/internal/lab/soak/troubles.go
@@ -262,7 +262,8 @@
 	_ = old.front.ln.Close()
 	old.front.reset()
 	old.reset()
-	fresh, err := w.newServer(uid, depot.Cache, address)
+	// A router that has not heard of it yet takes it for the old one: a repeat of what ran there must not run elsewhere.
+	fresh, err := w.newServer(uid, depot.Cache, old.cell, address)
 	if err != nil {
 		w.fail(err)
 		return
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -66,6 +66,7 @@
 	Dial        time.Duration // until a connection to the bulletin is up, or another is tried
 	Again       time.Duration // the first wait after a failed poll; it doubles
 	Late        time.Duration // the longest such wait
+	Shortage    time.Duration // until a want of descriptors is no longer taken for one of the moment, and connections are turned back
 	Pause       time.Duration // between two looks at what has to be tried or awaited
 	Linger      time.Duration // how long new views come after the order to stop
 	Stop        time.Duration // until the last view has its answer after it
@@ -102,7 +103,7 @@
 	}
 	return Limits{
 		Cores: t.Cores, Memory: int64(t.MemoryMB) << 20, Sockets: t.Sockets,
-		Clients: t.Sockets * 2 / 5, Turned: t.Sockets / 32, Nodes: t.Sockets * 2 / 5, NodeConns: t.Sockets / 8, Redials: 4, Streams: streams,
+		Clients: t.Sockets * 2 / 5, Turned: t.Sockets / 32, Nodes: t.Sockets * 2 / 5, NodeConns: t.Sockets / 8, Redials: 8, Streams: streams,
 		Strings: 8, Request: 48_000, Object: 240_000, Fields: 1 << 10, KB: 1e9, Timeout: 2*t.LongestHard + time.Second,
 		ClientIn: 64 << 10, ClientOut: 32 << 10, NodeIn: 256 << 10, NodeOut: 64 << 10,
 		Copies: t.MemoryMB << 20 / 4, Answers: int64(t.MemoryMB) << 20 / 6, Events: 4 << 20,
@@ -110,7 +111,7 @@
 		Connect: t.Connect, Slow: t.Connect / 8, Idle: t.Idle * 8 / 10, Rest: 6 * time.Second, Whole: 2 * time.Second, Fresh: time.Second, Stuck: 5 * time.Second, Frame: 100 * time.Millisecond, Stale: 50 * time.Millisecond, Behind: time.Millisecond, Hurry: 100 * time.Millisecond, Polite: 150 * time.Millisecond, Watch: 20 * time.Millisecond, StoreSilent: time.Second,
 		Begin: grace * 9 / 10, BeginLate: t.Drain / 10, Forget: 2 * (t.LongestHard + t.Drain),
 		Poll: 2 * time.Second, Silent: 2500 * time.Millisecond, Halt: 500 * time.Millisecond, Page: 4 * time.Second, Rewind: 3 * time.Second, Prompt: 500 * time.Millisecond, Dial: time.Second, Again: 50 * time.Millisecond, Late: 500 * time.Millisecond,
-		Pause: 5 * time.Millisecond,
+		Pause: 5 * time.Millisecond, Shortage: 100 * time.Millisecond,
 		// The platform kills a router no sooner than the longest hard limit, or 3 s if that is less, and 0.7 s more.
 		Linger: 700 * time.Millisecond, Stop: min(t.LongestHard, 3*time.Second) + 450*time.Millisecond,
 		Flush: 150 * time.Millisecond, Summary: 5 * time.Second,
