--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -123,12 +123,12 @@
 	return r, r.Configure(seed, s, bulletin, known)
 }
 
-var addresses atomic.Uint32
+var routersMade atomic.Uint32
 
 // ownAddress is a loopback address for one router of this process alone: while it is down, nobody else can take its port, and no
 // client can meet itself there.
 func ownAddress() string {
-	n := uint32(os.Getpid())<<8 + addresses.Add(1)
+	n := uint32(os.Getpid())<<8 + routersMade.Add(1)
 	return fmt.Sprintf("127.%d.%d.%d", 16+n>>16&0x7f, n>>8&0xff, 1+n&0x7f)
 }
 
