--- a/internal/back/crossing_test.go
+++ b/internal/back/crossing_test.go
@@ -11,9 +11,12 @@
 	"time"
 
 	"fennelarch/internal/engine"
+	"fennelarch/internal/flightrec"
 	"fennelarch/internal/guard"
 	"fennelarch/internal/limits"
 	"fennelarch/rules"
+
+	"go.uber.org/zap"
 )
 
 // wire is a connection of which each write is held up: after it took most bytes it says so on took, and goes on once it is
@@ -291,3 +294,60 @@
 	s.answer <- true
 	r.end(rules.Succeeded, busy)
 }
+
+// A client has its answer, has gone, or its time is up, while its attempt waits: nothing of the attempt is written, and its server is not
+// blamed. One that begins is known to the guard, and its last byte too.
+func TestNothingBegunOnceOver(t *testing.T) {
+	for name, over := range map[string]func(r *guard.Request){
+		"answered":  func(r *guard.Request) { r.End(guard.EndServed, time.Now()) },
+		"cancelled": func(r *guard.Request) { r.End(guard.EndCancelled, time.Now()) },
+		"time up":   func(*guard.Request) { time.Sleep(120 * time.Millisecond) },
+	} {
+		w, up := newWire(1<<20), make(chan struct{})
+		r := newWired(t, nil, w)
+		dial := r.dial
+		r.dial = func(n, a string, d time.Duration) (net.Conn, error) { <-up; return dial(n, a, d) }
+		l := leg(1)
+		l.Node, l.Deadline = 1, time.Now().Add(100*time.Millisecond)
+		monitor := guard.NewMonitor(zap.NewNop(), flightrec.New(64, guard.ReasonName), nil, nil)
+		l.Ask.Guard = monitor.NewRequest(1, l.Deadline, guard.Repeat{})
+		r.Send(l)
+		over(l.Ask.Guard)
+		close(up)
+		r.end(rules.Moot, l)
+		if len(w.took) > 0 {
+			t.Errorf("%s: %q went all the same", name, <-w.took)
+		}
+		if monitor.Violations() != 0 {
+			t.Errorf("%s: counted as a violation", name)
+		}
+	}
+}
+
+// A server takes no bytes: a request that is half written when its first tenth of a second is over never becomes whole, and did not run.
+func TestFrameThatIsNotTaken(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if c, err := ln.Accept(); err == nil {
+			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+			accepted <- c
+		}
+	}()
+	r := newRig(t, func(l *limits.Limits) { l.NodeConns, l.NodeOut = 1, 8<<20 })
+	r.list(1, rules.Ready, ln.Addr().String())
+	l := leg(1)
+	l.Node, l.Deadline, l.Ask.Body = 1, time.Now().Add(10*time.Second), make([]byte, 8<<20) // more than the system takes
+	begun := time.Now()
+	r.Send(l)
+	r.end(rules.Unconnected, l)
+	if took := time.Since(begun); took < bounds.Frame || took > bounds.Stuck/2 {
+		t.Errorf("given up after %v", took)
+	}
+	c := next(t, accepted)
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/engine/departure_test.go
@@ -0,0 +1,81 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"fennelarch/internal/guard"
+	"fennelarch/rules"
+)
+
+// guarded is a request with a guard of its own.
+func (w *watcher) guarded(id rules.ViewID, left time.Duration) *Ask {
+	at := w.start.Add(w.at)
+	var nobody *guard.Monitor
+	return &Ask{View: id, Client: w, Tag: Tag(id), Object: 7, KB: 100, Left: left, At: at,
+		Guard: nobody.NewRequest(uint64(id), at.Add(left), guard.Repeat{})}
+}
+
+// A client leaves while its request waits for the engine, and the event that says so is before it, behind it, or not there yet:
+// nothing is sent, and nothing is left.
+func TestDepartureOvertakes(t *testing.T) {
+	for name, order := range map[string]func(w *watcher, a *Ask){
+		"before":        func(w *watcher, a *Ask) { w.tell(Gone{a.View}); w.tell(a) },
+		"behind":        func(w *watcher, a *Ask) { w.tell(a); w.tell(Gone{a.View}) },
+		"not there yet": func(w *watcher, a *Ask) { w.tell(a) },
+	} {
+		w := newWatcher(t, name)
+		a := w.guarded(1, 2*time.Second)
+		a.Guard.End(guard.EndClientLeft, w.start)
+		w.over = true
+		order(w, a)
+		w.pass(3 * time.Second)
+		if len(w.legs) > 0 || len(w.answers) > 0 || len(w.views) > 0 || w.Open() != 0 {
+			t.Errorf("%s: %d attempts, %d answers, %d requests left", name, len(w.legs), len(w.answers), len(w.views))
+		}
+	}
+}
+
+// A client leaves between two attempts: the next one is not sent, though the router of decisions wants it.
+func TestDepartureBetweenAttempts(t *testing.T) {
+	w := newWatcher(t, "between attempts")
+	a := w.guarded(1, 2*time.Second)
+	w.tell(a)
+	if len(w.legs) != 1 {
+		t.Fatalf("%d attempts", len(w.legs))
+	}
+	a.Guard.End(guard.EndCancelled, w.start)
+	w.over = true
+	w.end(0, rules.Missed, rules.NoteLacks)
+	w.tell(Gone{1})
+	w.pass(3 * time.Second)
+	if len(w.legs) != 1 || len(w.views) != 0 || w.Open() != 0 {
+		t.Errorf("%d attempts, %d requests left", len(w.legs), len(w.views))
+	}
+}
+
+// Where the engine has too much before it, a request is not taken, and nobody waits; that a client has gone is always taken.
+func TestFullQueue(t *testing.T) {
+	e := New(rules.Settings{}, 1, 2, time.Now(), nil, Own{}, zap.NewNop())
+	now := time.Now()
+	for i := range 2 {
+		if !e.Post(now, &Ask{View: rules.ViewID(i + 1)}) {
+			t.Fatal("a request is not taken though there is room")
+		}
+	}
+	if e.Post(now, &Ask{View: 3}) {
+		t.Error("a request is taken though there is no room")
+	}
+	done := make(chan bool)
+	go func() { done <- e.Post(now, Gone{1}) && e.Post(now, Gone{2}) }()
+	select {
+	case taken := <-done:
+		if gone := e.departures.take(); !taken || len(gone) != 2 || gone[0].View != 1 {
+			t.Errorf("%v", gone)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("whoever tells of a departure waits")
+	}
+}
