A test that fails: routers that restart together all have a turn at a cold server

Read: Router.affordable begins a cold server's turns anew, by chance, where its start is later than the last turn. For a router that starts after the server, the start lies before its clock's zero and the last turn is zero: the chance is left out, and what is saved up counts from the start of the process.

--- a/rules/fleet_test.go
+++ b/rules/fleet_test.go
@@ -27,6 +27,9 @@
 	quiet   float64 // of the usual traffic until then
 	failing bool    // what reaches the node fails, so that views go again
 	seed    uint64
+
+	restartAt time.Duration // when restarted of ten routers are killed and start anew at once, 0: never
+	restarted int
 }
 
 // play returns what reached the cold node, and the part of all views that was served.
@@ -41,20 +44,25 @@
 	var fleet []*bench
 	var share []float64
 	total := 0.0
-	for i := range f.routers {
-		b := &bench{r: New(set, f.seed*1000+uint64(i)), now: start, legs: map[ViewID]LegNo{}, mute: true}
+	// A process has a clock of its own, which stands at 0 when it starts; since is that moment on the test's clock.
+	process := func(i int, since, now time.Duration) *bench {
+		b := &bench{r: New(set, f.seed*1000+uint64(i)+uint64(since)), now: now - since, legs: map[ViewID]LegNo{}, mute: true}
 		b.acts = b.r.Start(b.now, nil)
-		e := Event{Kind: EventList, List: ListCached}
+		e := Event{Kind: EventList, List: ListCached, Ago: time.Hour}
 		for _, n := range []NodeID{cacheA, cacheB, cacheC, cacheD, parentP, parentQ, origin} {
 			m := member(n)
 			m.Weight = f.link
 			if n == cold {
-				m.Started = start
+				m.Started = start - since
 			}
 			e.Members = append(e.Members, m)
 		}
 		b.do(&e)
-		fleet = append(fleet, b)
+		return b
+	}
+	begun := make([]time.Duration, f.routers)
+	for i := range f.routers {
+		fleet = append(fleet, process(i, 0, start))
 		x := math.Exp(rng.float()*3 - 1.5) // some get twenty times what others do
 		share = append(share, x)
 		total += x
@@ -84,9 +92,18 @@
 	}
 	const turn = 10 * ms
 	for now := start; now < start+length; now += turn {
+		if f.restartAt > 0 && now-start >= f.restartAt && now-start < f.restartAt+turn {
+			for i := range fleet {
+				if i%10 < f.restarted {
+					begun[i] = now
+					fleet[i] = process(i, now, now)
+				}
+			}
+			dues = slices.DeleteFunc(dues, func(d due) bool { return d.router%10 < f.restarted })
+		}
 		if f.lostAt > 0 && now-start >= f.lostAt && now-start < f.lostAt+turn {
 			for _, b := range fleet { // all hear of it at once
-				b.now = now
+				b.now = now - begun[slices.Index(fleet, b)]
 				lost := []NodeID{cacheB, cacheC, cacheD}
 				if f.parent {
 					lost = []NodeID{parentQ}
@@ -117,7 +134,7 @@
 			}
 		}
 		for i, b := range fleet {
-			b.now = now
+			b.now = now - begun[i]
 			if (now/(20*ms))*(20*ms) == now {
 				b.do(&Event{Kind: EventTimer, Timer: timerTick})
 				take(i, b.acts)
@@ -201,3 +218,35 @@
 		}
 	}
 }
+
+// Most or all routers are killed and start anew at once, some time after a server started cold: each of them meets the server for the
+// first time, and all together stay within its budget.
+func TestColdNodeAndManyRestarts(t *testing.T) {
+	start := time.Minute
+	for _, routers := range []int{4, 20, 300} {
+		for _, link := range []float64{1, 10, 60} {
+			for _, parent := range []bool{false, true} {
+				text, worst := "", 0.0
+				for seed, c := range []struct {
+					at        time.Duration
+					restarted int
+					quiet     float64
+				}{{500 * ms, 7, 1}, {time.Second, 10, 1}, {3 * time.Second, 10, 1}, {6 * time.Second, 7, 0.1}} {
+					set := plain()
+					set.WeightIsLink, set.Direct = true, false
+					f := coldFleet{routers: routers, link: link, parent: parent, lostAt: c.at + 2*time.Second, quiet: c.quiet,
+						seed: uint64(seed + 1), restartAt: c.at, restarted: c.restarted}
+					got, served := f.play(set, start)
+					ratio := f.worst(set, start, got)
+					worst = max(worst, ratio)
+					text += fmt.Sprintf("  %d of 10 at %.1f s: %.2f of what it bears, %.2f served", c.restarted, c.at.Seconds(), ratio, served)
+				}
+				what := fmt.Sprintf("%3d routers, link of %2g, parent %-5v", routers, link, parent)
+				t.Logf("%s%s", what, text)
+				if worst > 1 {
+					t.Errorf("%s: the cold node falls, at %.2f of what it bears", what, worst)
+				}
+			}
+		}
+	}
+}
