A cold server's turns begin by chance at every router that meets it

Cause: as read; affordable compared the last turn with the start, which says nothing where the start is before the router's own.

Change: a server's turns are reckoned for one start of it; where they are not yet, they begin now, by chance, with nothing saved up.

Related: a list that tells a later start, and a server taken for restarted after a silence (good), begin them anew as before.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -731,8 +731,9 @@
 
 // affordable says whether a cold node can bear this view from this router now.
 func (r *Router) affordable(v *view, n int32) bool {
-	if d := &r.nodes[n]; d.next < d.started && r.warm(n) < 1 {
-		d.next = r.now // nothing saved up: all routers hear of its start at about the same time
+	if d := &r.nodes[n]; d.paced != d.started && r.warm(n) < 1 {
+		// Nothing saved up: all routers hear of its start at about the same time, or start together after it.
+		d.paced, d.next = d.started, r.now
 		r.charge(v, n, r.rng.float()*(1-r.part(n)))
 	}
 	return r.warm(n) >= 1 || r.now >= r.nodes[n].next
--- a/rules/state.go
+++ b/rules/state.go
@@ -41,6 +41,7 @@
 	drag    float64       // usual length of a fill's body over its prediction
 	carries rate          // sending time a second that it has answered in
 	next    time.Duration // while it is cold: nothing from this router before
+	paced   time.Duration // the start for which that is reckoned
 	slow    time.Duration // when a fill from it was last counted at the gate as late
 	broke   time.Duration // when a connection to it last broke
 	load    float64       // its last report of how busy it is
@@ -509,7 +510,7 @@
 			n = r.place()
 			r.index[m.Node] = n
 			// One that is not ready when it is first heard of was told to leave at some time before.
-			r.nodes[n] = node{id: m.Node, role: k, zone: m.Zone, cell: m.Cell, started: LongAgo, heard: r.now, told: LongAgo}
+			r.nodes[n] = node{id: m.Node, role: k, zone: m.Zone, cell: m.Cell, started: LongAgo, heard: r.now, told: LongAgo, paced: LongAgo}
 			if r.set.WeightIsLink {
 				r.nodes[n].pipe.room = m.Weight // as told, until transfers show it
 			}
