Front end tests: an eviction is tried once the connection is reported idle

TestEvictedConnectionIsClosedAtOnce dialled its second connection as soon as it had read the answer to its PING. The writer reports the connection idle only after that write, so the second connection could come first, be answered BUSY, which is allowed, and leave the first one open for its idle timeout. The test now waits for the report, under the lock of the connection: busyCount falls before the admission policy has handled the event, so waiting for it leaves a gap.

--- a/internal/frontend/connection_test.go
+++ b/internal/frontend/connection_test.go
@@ -106,6 +106,9 @@
 	evicted := server.dial()
 	server.write(evicted, frame("PING", "1"))
 	server.readExactly(evicted, pong("1"))
+	await(t, "the connection is reported idle", func() bool {
+		return !server.anyConnection(func(c *connection) bool { return c.isReportedBusy })
+	})
 	start := time.Now()
 	server.write(server.dial(), frame("PING", "2"))
 	if text := server.readToEnd(evicted); text != "" {
