Shared store: a fill that may have run is reported as failed, not as a miss

Cause: failFill reported CacheMiss for every outcome of a fill, and endAttempt takes CacheMiss as proof that nothing ran. True of a cache, which runs nothing that it misses; behind a store the router itself sends the request on. The same held for errors, timeouts, cancels and a copy from before a purge. A keyed request was held to the zone and cell of the store, though it ran at the source of its fill.

Change: an operation ends as a miss only if its fill provably did not run, else as failed with the same note, by which routing blames and goes on as before. Outcome.ProvesNotRun replaces three copies of the list. Stores are marked RunsAtSource, and routing judges repeats by where a request ran. Joined requests did not run: a miss for them.

Ruled out: a second fill of one request beside a late get (acquireLease and fill stop at fillFailed).

--- a/internal/sharedstore/discovery.go
+++ b/internal/sharedstore/discovery.go
@@ -11,7 +11,8 @@
 )
 
 // ObserveDiscovery takes every message of the discovery service before the engine does, and returns the message for the
-// engine. To a complete endpoint list it adds the stores that the list does not contain.
+// engine. In an endpoint list it marks the stores as endpoints at which no request runs; to a complete one it adds the
+// stores that the list does not contain.
 func (t *Transport) ObserveDiscovery(message engine.Message) engine.Message {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -19,14 +20,24 @@
 	case engine.Purge:
 		t.recordPurge(&m)
 	case engine.EndpointList:
+		m.Endpoints = t.withMarkedStores(m.Endpoints)
 		if m.Complete {
 			m.Endpoints = t.withUnlistedStores(m.Endpoints)
-			return m
 		}
+		return m
 	}
 	return message
 }
 
+// withMarkedStores returns the endpoints with the stores among them marked.
+func (t *Transport) withMarkedStores(endpoints []engine.Endpoint) []engine.Endpoint {
+	endpoints = slices.Clone(endpoints)
+	for i := range endpoints {
+		endpoints[i].RunsAtSource = t.clients[endpoints[i].ID] != nil
+	}
+	return endpoints
+}
+
 func (t *Transport) recordPurge(purge *engine.Purge) {
 	isNew := t.coordinator.RecordInvalidation(t.now(), policy.Invalidation{
 		Object: purge.Object, Group: purge.Group, IssuedAt: policy.Timestamp(purge.Issued.UnixMilli()),
@@ -40,7 +51,6 @@
 }
 
 func (t *Transport) withUnlistedStores(endpoints []engine.Endpoint) []engine.Endpoint {
-	endpoints = slices.Clone(endpoints)
 	for _, client := range t.clients {
 		if !client.config.Listed {
 			endpoints = append(endpoints, t.storeEndpoint(client))
@@ -56,7 +66,7 @@
 		return endpoint
 	}
 	endpoint := engine.Endpoint{UID: client.config.UID, Endpoint: routing.Endpoint{
-		ID: client.id, State: routing.Ready, Zone: t.routing.Zone, Weight: client.config.Weight,
+		ID: client.id, State: routing.Ready, Zone: t.routing.Zone, Weight: client.config.Weight, RunsAtSource: true,
 	}}
 	for endpoint.Kind == t.routing.ParentKind || endpoint.Kind == t.routing.OriginKind {
 		endpoint.Kind++
--- a/internal/sharedstore/transport_test.go
+++ b/internal/sharedstore/transport_test.go
@@ -38,6 +38,7 @@
 	post     func(time.Time, engine.Message)
 	body     []byte
 	isSilent bool
+	fail     routing.Outcome // of each fill, if it is set
 	fills    []*engine.Attempt
 	aborted  []*engine.Attempt
 }
@@ -55,6 +56,10 @@
 	if p.isSilent {
 		return
 	}
+	if p.fail != routing.OutcomeNone {
+		go p.post(time.Now(), engine.AttemptResult{Attempt: attempt, Outcome: p.fail})
+		return
+	}
 	go p.post(time.Now(), engine.AttemptResult{
 		Attempt: attempt, Outcome: routing.Succeeded, Note: routing.NoteHit, Body: p.body, ETag: "5",
 		GeneratedAt: time.Now(),
@@ -193,6 +198,40 @@
 	}
 }
 
+// TestResetFillMayHaveRun guards against BUSY for a request that ran at the source of a store, by the proof that it did
+// not run.
+func TestResetFillMayHaveRun(t *testing.T) {
+	f := newFixture(t, zap.NewNop())
+	for outcome, mayHaveRun := range map[routing.Outcome]bool{
+		routing.ConnectionBroken: true, routing.Failed: true, routing.TimedOut: true,
+		routing.ConnectFailed: false, routing.Overloaded: false, routing.CacheMiss: false,
+	} {
+		f.parent.fail = outcome
+		f.request(routing.ObjectID(100 + outcome))
+		if result := f.result(t); result.Outcome.ProvesNotRun() == mayHaveRun {
+			t.Errorf("a fill that ended with outcome %d is reported as outcome %d", outcome, result.Outcome)
+		}
+	}
+}
+
+// TestStoresAreMarked guards against repeats in another group than that of the source at which a request ran.
+func TestStoresAreMarked(t *testing.T) {
+	f := newUnconnectedFixture(t)
+	listed := engine.Endpoint{UID: storeUID, Endpoint: routing.Endpoint{ID: engine.EndpointID(storeUID)}}
+	parent := engine.Endpoint{UID: parentUID, Endpoint: routing.Endpoint{ID: engine.EndpointID(parentUID), Kind: 1}}
+	for _, list := range []engine.EndpointList{
+		{Endpoints: []engine.Endpoint{listed, parent}},
+		{Endpoints: []engine.Endpoint{parent}, Complete: true},
+	} {
+		list = f.ObserveDiscovery(list).(engine.EndpointList)
+		for _, endpoint := range list.Endpoints {
+			if want := endpoint.UID == storeUID; endpoint.RunsAtSource != want {
+				t.Errorf("%s: requests run at the source: %v", endpoint.UID, endpoint.RunsAtSource)
+			}
+		}
+	}
+}
+
 // A miss is filled and stored, the next request is a hit with the same body, and a purge leads to another fill.
 func TestFillHitAndPurge(t *testing.T) {
 	f := newFixture(t, zap.NewNop())
--- a/internal/upstream/session.go
+++ b/internal/upstream/session.go
@@ -240,10 +240,8 @@
 // request's invariants.
 func (s *session) finish(result engine.AttemptResult, endpoint routing.EndpointID) {
 	number, invariants := result.Attempt.Number, result.Attempt.Request.Invariants
-	switch result.Outcome {
-	case routing.ConnectFailed, routing.NotSent, routing.CacheMiss, routing.Overloaded:
+	if result.Outcome.ProvesNotRun() {
 		invariants.MarkNotRun(number, endpoint)
-	default: // the attempt may have run
 	}
 	invariants.Record(flightrecorder.AttemptEnded, number, endpoint, uint8(result.Outcome), 0)
 	s.results = append(s.results, result)
--- a/policy/routing/attempt.go
+++ b/policy/routing/attempt.go
@@ -87,7 +87,7 @@
 		return false
 	}
 	// Rule 2: a request that may have run is repeated only as its class allows.
-	if req.inFlight > 0 && !r.settings.HedgedRequests || !r.mayRepeat(req, plan.endpoint) {
+	if req.inFlight > 0 && !r.settings.HedgedRequests || !r.mayRepeat(req, r.executor(plan.endpoint, plan.source)) {
 		return false
 	}
 	// Rule 3: no attempt names an endpoint or a source whose drain grace is over.
@@ -173,9 +173,7 @@
 	req.inFlight--
 	r.releaseLinks(att)
 	r.originLimiter.end(att.originShare, r.now)
-	switch outcome {
-	case Overloaded, ConnectFailed, NotSent, CacheMiss:
+	if outcome.ProvesNotRun() {
 		att.mayHaveRun = false
-	default:
 	}
 }
--- a/policy/routing/endpoints.go
+++ b/policy/routing/endpoints.go
@@ -39,6 +39,7 @@
 	role           endpointRole
 	zone           ZoneID
 	cell           CellID
+	runsAtSource   bool // requests run at the source of their attempt, see Endpoint.RunsAtSource
 	weight         float64
 	state          EndpointState
 	leavingSince   time.Duration // when the list first reported that the endpoint is draining or gone
@@ -93,7 +94,7 @@
 
 // update updates an endpoint from its entry in the list.
 func (e *endpoint) update(listed *Endpoint, listVersion int, listedAt time.Duration) {
-	e.listVersion, e.weight = listVersion, listed.Weight
+	e.listVersion, e.weight, e.runsAtSource = listVersion, listed.Weight, listed.RunsAtSource
 	if listed.StartedAt > e.slowStart.startedAt {
 		e.slowStart.startedAt, e.outlier = listed.StartedAt, outlierDetector{}
 	}
--- a/policy/routing/event.go
+++ b/policy/routing/event.go
@@ -84,6 +84,16 @@
 	CacheMiss                // did not run
 )
 
+// ProvesNotRun reports whether the outcome ensures that the request did not run.
+func (o Outcome) ProvesNotRun() bool {
+	switch o {
+	case Overloaded, ConnectFailed, NotSent, CacheMiss:
+		return true
+	default:
+		return false
+	}
+}
+
 // Note says how an answer was produced or what failed.
 type Note uint8
 
@@ -132,6 +142,10 @@
 	Cell      CellID
 	Weight    float64
 	StartedAt time.Duration
+
+	// RunsAtSource is set for an endpoint for which the router itself fetches what the endpoint lacks, such as a shared
+	// store: a request runs at the source of its attempt, never at the endpoint.
+	RunsAtSource bool
 }
 
 // LoadReport holds up to four values, in the order of Settings.ReportColumns.
--- a/policy/routing/retry.go
+++ b/policy/routing/retry.go
@@ -50,8 +50,16 @@
 	return true
 }
 
-// mayRepeat reports whether a request may be sent to the endpoint after earlier attempts that may have run. An
-// idempotent request may always be sent, a request with an idempotency key only within its DedupScope and DedupWindow,
+// executor returns the endpoint at which a request runs that is sent to the given endpoint with the given source.
+func (r *Router) executor(endpoint, source endpointIndex) endpointIndex {
+	if r.endpoints[endpoint].runsAtSource {
+		return source
+	}
+	return endpoint
+}
+
+// mayRepeat reports whether a request may run at the endpoint after earlier attempts that may have run. An idempotent
+// request may always be sent, a request with an idempotency key only within its DedupScope and DedupWindow,
 // and any other request never. This enforces rule 2.
 func (r *Router) mayRepeat(req *request, index endpointIndex) bool {
 	class := &r.settings.Classes[req.class]
@@ -63,7 +71,8 @@
 		if !earlier.mayHaveRun {
 			continue
 		}
-		isDeduplicated := inDedupScope(class.DedupScope, &r.endpoints[earlier.endpoint], &r.endpoints[index])
+		ranAt := r.executor(earlier.endpoint, earlier.source)
+		isDeduplicated := inDedupScope(class.DedupScope, &r.endpoints[ranAt], &r.endpoints[index])
 		if class.Idempotency == NonIdempotent || !isDeduplicated || r.now-earlier.sentAt >= class.DedupWindow {
 			return false
 		}
--- a/policy/routing/retry_test.go
+++ b/policy/routing/retry_test.go
@@ -96,6 +96,29 @@
 	//   0.04s request 2: attempt to B, fill from P
 }
 
+// Rule 2: what a shared store lacks is fetched by the router, so a request runs at its source. With a key of scope cell,
+// it is not repeated at a source in another cell, though the store is the same; in the same cell it is.
+func Example_idempotencyKeyThroughStore() {
+	settings := testSettings()
+	class := &settings.Classes[readClass]
+	class.Idempotency, class.DedupScope, class.DedupWindow = IdempotentWithKey, ScopeCell, 5*time.Second
+	harness := newHarness(settings, cacheA)
+	store := member(cacheA)
+	store.RunsAtSource = true
+	harness.handle(&Event{Kind: EventEndpoints, EndpointListKind: EndpointListDelta, Endpoints: []Endpoint{store}})
+	object := harness.firstObject(cacheA, parentP)
+	harness.request(1, readClass, object)
+	harness.result(1, cacheA, 20*ms, Failed, NoteSourceUnreachable)
+	harness.router.endpoints[harness.router.endpointByID[parentP]].cell = 1
+	harness.request(2, readClass, object)
+	harness.result(2, cacheA, 20*ms, Failed, NoteSourceUnreachable)
+	// Output:
+	//   0.00s request 1: attempt to A, fill from P
+	//   0.02s request 1: attempt to A, fill from origin, start within 4.98s
+	//   0.02s request 2: attempt to A, fill from P
+	//   0.04s request 2: failed
+}
+
 // Rule 2: a repeat of a request that may have run must be sent within the dedup window, however long connecting takes.
 func Example_idempotencyWindow() {
 	settings := testSettings()
--- a/policy/sharedstore/coalesce.go
+++ b/policy/sharedstore/coalesce.go
@@ -34,7 +34,7 @@
 }
 
 // completeFollowers tells the followers of an operation how the operation ended. If its source failed, the followers
-// with the same source fail too.
+// with the same source fail too, but their own requests have not run.
 func (c *Coordinator) completeFollowers(leader *operation, outcome routing.Outcome, note routing.Note) {
 	if c.leaders[leader.key] == leader {
 		delete(c.leaders, leader.key)
@@ -49,7 +49,7 @@
 			follower.generatedAt = leader.generatedAt
 			c.input(follower, inputCopyShared)
 		case isSourceFailure && hasSameSource:
-			c.complete(follower, 0, outcome, note, 0)
+			c.complete(follower, 0, routing.CacheMiss, note, 0)
 		default:
 			c.input(follower, inputLeaderFailed)
 		}
--- a/policy/sharedstore/fill.go
+++ b/policy/sharedstore/fill.go
@@ -85,7 +85,7 @@
 	if event.GeneratedAt > 0 && !c.invalidations.isNewer(op.key.object, op.group, event.GeneratedAt) {
 		// The source's copy is from before a purge and must not be served. After a miss the request goes elsewhere.
 		c.Counts.Stale++
-		c.complete(op, 0, routing.CacheMiss, routing.NoteSourceMiss, event.FirstByteWait)
+		c.complete(op, 0, fillFailureOutcome(event.Outcome), routing.NoteSourceMiss, event.FirstByteWait)
 		return
 	}
 	c.input(op, inputFilled)
@@ -185,7 +185,16 @@
 	default:
 	}
 	c.releaseLease(op)
-	c.complete(op, 0, routing.CacheMiss, note, op.fill.firstByteWait)
+	c.complete(op, 0, fillFailureOutcome(op.fill.outcome), note, op.fill.firstByteWait)
+}
+
+// fillFailureOutcome returns the outcome of an operation whose fill ended without a usable copy: a miss only if the
+// request is known not to have run at the source. Otherwise it must not be repeated as though it had not.
+func fillFailureOutcome(fill routing.Outcome) routing.Outcome {
+	if fill.ProvesNotRun() {
+		return routing.CacheMiss
+	}
+	return routing.Failed
 }
 
 // releaseFill removes a fill from its source's limit, which is dropped with the last fill of a source that is gone.
--- a/policy/sharedstore/fill_test.go
+++ b/policy/sharedstore/fill_test.go
@@ -51,6 +51,51 @@
 	}
 }
 
+// TestFillThatMayHaveRunIsNoMiss guards against the report of a miss, which promises that the request did not run, for
+// a fill that may have run at its source. A second request that waited for the fill has not run in any case.
+func TestFillThatMayHaveRunIsNoMiss(t *testing.T) {
+	purged := Invalidation{Object: 7, IssuedAt: epoch + 4000}
+	for _, test := range []struct {
+		name  string
+		fill  Event
+		purge bool
+		want  routing.Outcome
+	}{
+		{"miss", Event{Outcome: routing.CacheMiss, Note: routing.NoteSourceMiss}, false, routing.CacheMiss},
+		{"full", Event{Outcome: routing.Overloaded}, false, routing.CacheMiss},
+		{"refused", Event{Outcome: routing.ConnectFailed}, false, routing.CacheMiss},
+		{"not sent", Event{Outcome: routing.NotSent}, false, routing.CacheMiss},
+		{"reset", Event{Outcome: routing.ConnectionBroken}, false, routing.Failed},
+		{"error", Event{Outcome: routing.Failed}, false, routing.Failed},
+		{"error behind a parent", Event{Outcome: routing.Failed, Note: routing.NoteOriginFailed}, false, routing.Failed},
+		{"silent", Event{Outcome: routing.TimedOut}, false, routing.Failed},
+		{"cancelled", Event{Outcome: routing.Cancelled}, false, routing.Failed},
+		{"purged copy", Event{Outcome: routing.Succeeded, GeneratedAt: epoch + 3000, BodyBytes: 9}, true, routing.Failed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runner := newScriptRunner()
+			for _, word := range []string{"request", "join", "broken"} {
+				event := runner.event(word, 1)
+				runner.coordinator.Handle(runner.now, &event, nil)
+			}
+			if test.purge {
+				runner.coordinator.RecordInvalidation(runner.now, purged)
+			}
+			test.fill.Kind, test.fill.Operation = EventFillDone, 1
+			outcomes := map[OperationID]routing.Outcome{}
+			for _, action := range runner.coordinator.Handle(runner.now, &test.fill, nil) {
+				if action.Kind == ActionComplete {
+					outcomes[action.Operation] = action.Outcome
+				}
+			}
+			if outcomes[1] != test.want || outcomes[2] != routing.CacheMiss {
+				t.Errorf("outcomes %d and, of the request that joined, %d, want %d and %d",
+					outcomes[1], outcomes[2], test.want, routing.CacheMiss)
+			}
+		})
+	}
+}
+
 func fillRequestEvent(id OperationID) Event {
 	return Event{
 		Kind: EventRequest, Operation: id, Endpoint: testStore, Source: testParent, Object: routing.ObjectID(id),
