Discovery: a poll that is overdue goes on beside the next one

Cause: a response without progress for 0.5 s was cancelled, and the next poll ended the same way, so no event was heard for as long as discovery was slow. A response that began over 0.5 s late ended like this too. A slow server and a stopped one cannot be told apart while waiting, and one timeout is wrong for one of them.

Change: an overdue poll goes on, for up to 7 s without a sign of life, while the next one is sent; three at most. Whichever has news delivers it. A server that was slow last is waited for up to twice as long, so that it is not polled twice each time. Ages of events count from the head of their response.

Ruled out: longer timeouts alone (a stopped server would be polled again later), and the page of an older poll taken for that of a new server (isOutdated).

--- a/cmd/fennelarch/assemble.go
+++ b/cmd/fennelarch/assemble.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"fennelarch/internal/config"
 	"fennelarch/internal/discovery"
@@ -153,17 +154,15 @@
 	return nil
 }
 
-// newWatcher returns the watcher of the discovery server. The watcher also tells the shared stores how current its
-// events are.
+// newWatcher returns the watcher of the discovery server.
 func (r *router) newWatcher() *discovery.Watcher {
 	return discovery.New(discovery.Options{
-		Limits:    r.limits,
-		Names:     r.config.Names,
-		Address:   r.config.DiscoveryAddress,
-		Log:       r.log,
-		OnCurrent: r.stores.discoveryCurrent,
-		OnGap:     r.stores.discoveryGap,
-		Stalls:    r.monitor.StallDetector(),
+		Limits:   r.limits,
+		Names:    r.config.Names,
+		Address:  r.config.DiscoveryAddress,
+		Log:      r.log,
+		OnReport: func(report engine.DiscoveryReport) { r.deliverDiscovery(time.Now(), report) },
+		Stalls:   r.monitor.StallDetector(),
 	})
 }
 
@@ -175,13 +174,24 @@
 	}
 	known, parseErr := discovery.ParseKnown(r.config.KnownEvents)
 	applyErr := r.watcher.Apply(&known, engine.MaxAgeBeforeStart, func(message engine.Message) {
-		r.engine.Handle(0, engine.Event{Message: r.stores.translateEvent(message)})
+		r.deliverDiscovery(r.startedAt, message)
 	})
 	if err := errors.Join(parseErr, applyErr); err != nil {
 		r.log.Warn("configuration: some known events are unreadable", zap.Error(err))
 	}
 }
 
+// deliverDiscovery passes a message of discovery to the stores and the engine, which handles it at once if the router
+// has not started yet.
+func (r *router) deliverDiscovery(at time.Time, message engine.Message) {
+	message = r.stores.translateEvent(message)
+	if r.isStarted {
+		r.post(at, message)
+	} else {
+		r.engine.Handle(0, engine.Event{Message: message})
+	}
+}
+
 // loadFrontendFiles returns the admission settings and the TLS keys that the operator's file names. The keys are nil if
 // the file has no TLS section.
 func loadFrontendFiles(
--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -51,6 +51,7 @@
 	frontend *frontend.Server
 	watcher  *discovery.Watcher
 
+	isStarted   bool       // the engine runs on a goroutine of its own
 	serveResult chan error // receives the error of the frontend, which ends only if its listener fails
 }
 
@@ -146,12 +147,11 @@
 // then.
 func (r *router) start(listener net.Listener, dump <-chan os.Signal) {
 	never := make(chan struct{})
+	r.isStarted = true
 	go r.engine.Run(never, r.limits.SummaryInterval, r.logSummaries)
 	go r.dumpRecorderOnSignals(dump)
 	go r.stores.run(context.Background())
-	go r.watcher.Run(context.Background(), func(at time.Time, message engine.Message) {
-		r.post(at, r.stores.translateEvent(message))
-	})
+	go r.watcher.Run(context.Background(), r.deliverDiscovery)
 	go func() { r.serveResult <- r.frontend.Serve(listener) }()
 	r.log.Info("started",
 		zap.String("listen", r.config.Listen),
--- a/cmd/fennelarch/sharedstores.go
+++ b/cmd/fennelarch/sharedstores.go
@@ -81,20 +81,6 @@
 	}
 }
 
-// discoveryCurrent tells the transport that all discovery events published before a time have been delivered.
-func (s sharedStores) discoveryCurrent(asOf time.Time) {
-	if s.transport != nil {
-		s.transport.RecordDiscoveryCurrent(asOf)
-	}
-}
-
-// discoveryGap tells the transport that a discovery event was lost.
-func (s sharedStores) discoveryGap() {
-	if s.transport != nil {
-		s.transport.RecordDiscoveryGap()
-	}
-}
-
 // run keeps the connections to the stores open until the context ends.
 func (s sharedStores) run(ctx context.Context) {
 	if s.transport != nil {
--- a/internal/discovery/apply.go
+++ b/internal/discovery/apply.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fennelarch/internal/engine"
+	"fennelarch/policy/notification"
 
 	"go.uber.org/zap"
 )
@@ -31,13 +32,13 @@
 			return decodeErr
 		}
 		if event.Number == w.firstAfterGap {
-			w.onGap()
+			w.reportLost()
 		}
 		message, err := w.message(event)
 		w.lastEvent = event.Number
 		switch {
 		case err != nil: // a retry would fail in the same way
-			w.onGap()
+			w.reportLost()
 			decodeErr = errors.Join(decodeErr, fmt.Errorf("event %d: %w", event.Number, err))
 		case message != nil:
 			deliver(withAge(message, age))
@@ -46,6 +47,11 @@
 	return decodeErr
 }
 
+// reportLost reports that a published event will never be delivered.
+func (w *Watcher) reportLost() {
+	w.report(engine.DiscoveryReport{Kind: notification.EventsLost, At: time.Now()})
+}
+
 // checkRewind compares the server's last event number with that of the last event received. While a server that is
 // behind may still catch up, checkRewind returns an error; after limits.DiscoveryRewindAfter it accepts the server's
 // numbers.
@@ -63,7 +69,7 @@
 	}
 	w.log.Warn("discovery event numbers restarted", zap.Int64("from", w.lastEvent), zap.Int64("to", serverLastEvent))
 	w.lastEvent, w.behindSince = 0, time.Time{}
-	w.onGap()
+	w.reportLost()
 	return nil
 }
 
--- a/internal/discovery/apply_test.go
+++ b/internal/discovery/apply_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fennelarch/internal/engine"
+	"fennelarch/policy/notification"
 	"fennelarch/policy/routing"
 )
 
@@ -177,11 +178,17 @@
 	}
 }
 
-// OnGap is called for each event that will never be delivered, and when a new server takes over, as that server may not
-// publish all earlier events.
-func TestOnGapForEachLostEvent(t *testing.T) {
+// Each event that will never be delivered is reported, and a new server that takes over, as that server may not publish
+// all earlier events.
+func TestLostEventsAreReported(t *testing.T) {
 	gaps := 0
-	watcher := newTestWatcher(func(options *Options) { options.OnGap = func() { gaps++ } })
+	watcher := newTestWatcher(func(options *Options) {
+		options.OnReport = func(report engine.DiscoveryReport) {
+			if report.Kind == notification.EventsLost {
+				gaps++
+			}
+		}
+	})
 	for _, step := range []struct {
 		name string
 		page string
@@ -197,7 +204,7 @@
 		gaps = 0
 		_ = watcher.Apply(mustReadPage(t, step.page), 0, func(engine.Message) {})
 		if gaps != step.gaps {
-			t.Errorf("%s: OnGap was called %d times, want %d", step.name, gaps, step.gaps)
+			t.Errorf("%s: %d losses were reported, want %d", step.name, gaps, step.gaps)
 		}
 	}
 }
--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -10,21 +9,19 @@
 // plus or minus half.
 type backoff struct {
 	shortest, longest time.Duration
-	next              time.Duration
+	upcoming          time.Duration
 }
 
 func newBackoff(shortest, longest time.Duration) *backoff {
-	return &backoff{shortest: shortest, longest: longest, next: shortest}
+	return &backoff{shortest: shortest, longest: longest, upcoming: shortest}
 }
 
 // reset makes the next pause the shortest.
-func (b *backoff) reset() { b.next = b.shortest }
+func (b *backoff) reset() { b.upcoming = b.shortest }
 
-// wait waits until the pause has passed or ctx is done, and doubles the next pause.
-func (b *backoff) wait(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(b.next/2 + rand.N(b.next)):
-	}
-	b.next = min(2*b.next, b.longest)
+// next returns the next pause, and doubles the one after it.
+func (b *backoff) next() time.Duration {
+	pause := b.upcoming/2 + rand.N(b.upcoming)
+	b.upcoming = min(2*b.upcoming, b.longest)
+	return pause
 }
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -1,51 +1,87 @@
 package discovery
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"fennelarch/internal/engine"
+	"fennelarch/internal/limits"
+	"fennelarch/policy/notification"
 )
 
 // maxTrailingBytes bounds the bytes that are read and discarded after a page so that its connection can be reused.
 const maxTrailingBytes = 1 << 10
 
-// poll sends one long-poll request and applies the events of its response. A response that is late or stalls is
-// abandoned, but the events that were received completely are still applied.
-func (w *Watcher) poll(
-	ctx context.Context, client *http.Client, address string, deliver func(engine.Message),
-) error {
-	start := time.Now()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watchdog := time.AfterFunc(w.limits.PollTimeout, cancel)
-	defer watchdog.Stop()
-	response, err := w.get(ctx, client, address)
+// poll is one long-poll request and its response. It runs on a goroutine of its own and knows no state of the watcher.
+type poll struct {
+	limits *limits.Limits
+	report func(engine.DiscoveryReport)
+
+	number          int   // polls are numbered in the order in which they are sent
+	after           int64 // the last event that had been received
+	start           time.Time
+	responseTimeout time.Duration // time after which a response that has not begun is overdue
+	stallTimeout    time.Duration // time after which a response that makes no progress is overdue
+	overdue         chan struct{} // receives a value once the response is overdue; the poll goes on
+
+	giveUp      context.CancelFunc
+	giveUpTimer *time.Timer
+	lateTimer   *time.Timer
+}
+
+// pollResult is what a poll has brought.
+type pollResult struct {
+	poll         *poll
+	page         Page      // the events that were received completely, also if there is an error
+	err          error     // the response is not complete
+	respondedAt  time.Time // when the response began; zero if it did not
+	endedAt      time.Time
+	longestPause time.Duration // in the response
+}
+
+// lateness returns how slow the server was: how much later than its hold the response began, or its longest pause.
+func (r *pollResult) lateness() time.Duration {
+	return max(0, r.longestPause, r.respondedAt.Sub(r.poll.start)-r.poll.limits.PollHold)
+}
+
+// run sends the request and reads the response, until the server is silent for limits.PollGiveUp.
+func (p *poll) run(ctx context.Context, client *http.Client, address string) (result pollResult) {
+	ctx, p.giveUp = context.WithCancel(ctx)
+	defer p.giveUp()
+	p.giveUpTimer = time.AfterFunc(p.limits.PollGiveUp, p.giveUp)
+	defer p.giveUpTimer.Stop()
+	p.lateTimer = time.AfterFunc(p.responseTimeout, p.markOverdue)
+	defer p.lateTimer.Stop()
+	result.poll = p
+	response, err := p.get(ctx, client, address)
 	if err != nil {
-		return err
+		result.err, result.endedAt = err, time.Now()
+		return result
 	}
 	defer func() { _ = response.Body.Close() }()
-	page, readErr := w.readResponse(response, watchdog)
-	now := time.Now()
-	applyErr := w.Apply(&page, w.maxEventAge(start, now), deliver)
-	if err := cmp.Or(applyErr, readErr); err != nil {
-		return err
-	}
-	w.lastResponse = now
-	if w.lastEvent >= page.lastEvent {
-		w.onCurrent(start)
+	result.respondedAt = time.Now()
+	p.readResponse(response, &result)
+	result.endedAt = time.Now()
+	return result
+}
+
+func (p *poll) markOverdue() {
+	select {
+	case p.overdue <- struct{}{}:
+	default:
 	}
-	return nil
 }
 
 // get requests the events after the last one received. The server may hold the request until there is a new event.
-func (w *Watcher) get(ctx context.Context, client *http.Client, address string) (*http.Response, error) {
-	url := fmt.Sprintf("http://%s/bulletins?after=%d&patience=%d",
-		address, w.lastEvent, w.limits.PollHold.Milliseconds())
+func (p *poll) get(ctx context.Context, client *http.Client, address string) (*http.Response, error) {
+	url := fmt.Sprintf("http://%s/bulletins?after=%d&patience=%d", address, p.after, p.limits.PollHold.Milliseconds())
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		p.report(engine.DiscoveryReport{Kind: notification.PollSent, At: time.Now(), Hold: p.limits.PollHold})
+	}})
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -61,46 +97,41 @@
 	return response, nil
 }
 
-// readResponse reads the page in a response. The watchdog cancels the request if the page stalls or takes too long.
-func (w *Watcher) readResponse(response *http.Response, watchdog *time.Timer) (Page, error) {
-	watchdog.Reset(w.limits.PollStallTimeout)
-	page, err := readPage(&watchedReader{
-		reader:       io.LimitReader(response.Body, w.limits.DiscoveryPageBytes),
-		watchdog:     watchdog,
-		stallTimeout: w.limits.PollStallTimeout,
-		deadline:     time.Now().Add(w.limits.PollPageTimeout),
-	})
-	if err == nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxTrailingBytes))
+// readResponse reads the page in a response.
+func (p *poll) readResponse(response *http.Response, result *pollResult) {
+	p.lateTimer.Reset(p.stallTimeout)
+	reader := &watchedReader{
+		reader:     io.LimitReader(response.Body, p.limits.DiscoveryPageBytes),
+		poll:       p,
+		lastReadAt: result.respondedAt,
+		deadline:   result.respondedAt.Add(p.limits.PollPageTimeout),
 	}
-	return page, err
-}
-
-// maxEventAge returns how long ago the events of a poll may have been published. The events of a prompt response, or of
-// a poll during which the process stalled, may be as old as the previous response. Others were published while the
-// server held the poll.
-func (w *Watcher) maxEventAge(start, now time.Time) time.Duration {
-	switch {
-	case w.lastResponse.IsZero():
-		return engine.MaxAgeBeforeStart
-	case now.Sub(start) < w.limits.PollPromptWithin || w.stalls.StalledSince(start, now):
-		return now.Sub(w.lastResponse)
+	result.page, result.err = readPage(reader)
+	result.longestPause = reader.longestPause
+	if result.err == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxTrailingBytes))
 	}
-	return 0
 }
 
-// watchedReader restarts its watchdog after each read. The watchdog fires when no data arrives within stallTimeout, or
-// at the deadline.
+// watchedReader restarts the timers of its poll after each read, and ends a response that goes on after the deadline.
 type watchedReader struct {
 	reader       io.Reader
-	watchdog     *time.Timer
-	stallTimeout time.Duration
+	poll         *poll
+	lastReadAt   time.Time
+	longestPause time.Duration
 	deadline     time.Time
 }
 
 // Read implements io.Reader.
 func (r *watchedReader) Read(buffer []byte) (int, error) {
+	if time.Now().After(r.deadline) { // returned alone: the decoder may drop an error that comes with data
+		return 0, errPageTooLong
+	}
 	count, err := r.reader.Read(buffer)
-	r.watchdog.Reset(max(0, min(r.stallTimeout, time.Until(r.deadline))))
+	now := time.Now()
+	r.longestPause = max(r.longestPause, now.Sub(r.lastReadAt))
+	r.lastReadAt = now
+	r.poll.lateTimer.Reset(r.poll.stallTimeout)
+	r.poll.giveUpTimer.Reset(r.poll.limits.PollGiveUp)
 	return count, err
 }
--- a/internal/discovery/poll_test.go
+++ b/internal/discovery/poll_test.go
@@ -12,6 +12,7 @@
 
 	"fennelarch/internal/engine"
 	"fennelarch/internal/stalldetect"
+	"fennelarch/policy/notification"
 )
 
 // Polls that fail in any way are retried, also at a new address, and each event is delivered once and in order.
@@ -123,11 +124,15 @@
 	}
 }
 
-// OnCurrent is called with the start time of a poll after which no event is missing.
-func TestOnCurrentOnceCaughtUp(t *testing.T) {
+// The start time of a poll after which no event is missing is reported.
+func TestReportsCurrentOnceCaughtUp(t *testing.T) {
 	current := make(chan time.Time, 100)
 	watcher := newTestWatcher(func(options *Options) {
-		options.OnCurrent = func(asOf time.Time) { current <- asOf }
+		options.OnReport = func(report engine.DiscoveryReport) {
+			if report.Kind == notification.Current {
+				current <- report.At
+			}
+		}
 	})
 	var polls atomic.Int64
 	polledAt := make(chan time.Time, 2) // times of the first two polls
@@ -151,6 +156,6 @@
 			t.Errorf("current as of %v, want a time between the polls at %v and %v", asOf, first, second)
 		}
 	case <-time.After(10 * time.Second):
-		t.Error("OnCurrent was not called")
+		t.Error("no current time was reported")
 	}
 }
--- /dev/null
+++ b/internal/discovery/slow_test.go
@@ -0,0 +1,150 @@
+package discovery
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fennelarch/internal/engine"
+	"fennelarch/policy/notification"
+)
+
+// TestSlowServerIsHeard guards against a router that never hears an event while the discovery server is slow, because
+// it gives each response up after a pause. Each response here pauses longer than it may without being overdue.
+func TestSlowServerIsHeard(t *testing.T) {
+	const pause = 400 * time.Millisecond
+	for name, respond := range map[string]func(w http.ResponseWriter, text string){
+		"between head and body": func(w http.ResponseWriter, text string) {
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pause)
+			_, _ = fmt.Fprint(w, text)
+		},
+		"within the body": func(w http.ResponseWriter, text string) {
+			_, _ = fmt.Fprint(w, text[:20])
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pause)
+			_, _ = fmt.Fprint(w, text[20:])
+		},
+		"before the head": func(w http.ResponseWriter, text string) {
+			time.Sleep(pause)
+			_, _ = fmt.Fprint(w, text)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var polls, overdue atomic.Int64
+			watcher := newTestWatcher(func(options *Options) {
+				options.OnReport = func(report engine.DiscoveryReport) {
+					if report.Kind == notification.PollOverdue {
+						overdue.Add(1)
+					}
+				}
+			})
+			groups := runWatcher(t, watcher, startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				polls.Add(1)
+				respond(w, pageText(afterParameter(r)+1, purgeEvent(afterParameter(r)+1)))
+			}))
+			for want := 1; want <= 5; want++ {
+				expectGroup(t, groups, want)
+			}
+			if overdue.Load() > maxPolls { // once the watcher knows how slow the server is, it waits
+				t.Errorf("%d polls were overdue of %d, want %d at most", overdue.Load(), polls.Load(), maxPolls)
+			}
+		})
+	}
+}
+
+// A server that has stopped answering is polled a few times at once, no more, and is given up in the end.
+func TestSilentServerIsPolledAFewTimesAtOnce(t *testing.T) {
+	var open, most, polls atomic.Int64
+	watcher := newTestWatcher(func(options *Options) { options.Limits.PollGiveUp = 500 * time.Millisecond })
+	groups := runWatcher(t, watcher, startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if polls.Add(1) > 5 {
+			_, _ = fmt.Fprint(w, pageText(1, purgeEvent(1)))
+			return
+		}
+		most.Store(max(most.Load(), open.Add(1)))
+		<-r.Context().Done()
+		open.Add(-1)
+	}))
+	expectGroup(t, groups, 1)
+	if most.Load() < 2 || most.Load() > maxPolls {
+		t.Errorf("%d polls were in flight, want 2 to %d", most.Load(), maxPolls)
+	}
+}
+
+// The page of an older poll that ends late brings nothing new and is not taken for that of a new server.
+func TestOlderPollEndsLate(t *testing.T) {
+	watcher := newTestWatcher()
+	older, newer := watcher.newPoll(), watcher.newPoll()
+	delivered := 0
+	handle := func(sent *poll, text string) error {
+		now := time.Now()
+		result := pollResult{poll: sent, page: *mustReadPage(t, text), respondedAt: now, endedAt: now}
+		return watcher.handleResult(&result, sent == newer, func(engine.Message) { delivered++ })
+	}
+	if err := handle(newer, pageText(3, purgeEvent(1), purgeEvent(2), purgeEvent(3))); err != nil || delivered != 3 {
+		t.Fatalf("%d events delivered, want 3; error %v", delivered, err)
+	}
+	if err := handle(older, pageText(2, purgeEvent(1), purgeEvent(2))); err != nil || delivered != 3 {
+		t.Errorf("%d events delivered, want 3; error %v", delivered, err)
+	}
+	if watcher.lastEvent != 3 {
+		t.Errorf("last event %d, want 3", watcher.lastEvent)
+	}
+}
+
+// What happens at discovery is reported, so that it can be told what counts as notified.
+func TestReportsOfPolls(t *testing.T) {
+	var mu sync.Mutex
+	var kinds []notification.ReportKind
+	watcher := newTestWatcher(func(options *Options) {
+		options.OnReport = func(report engine.DiscoveryReport) {
+			mu.Lock()
+			defer mu.Unlock()
+			kinds = append(kinds, report.Kind)
+		}
+	})
+	var polls atomic.Int64
+	groups := runWatcher(t, watcher, startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		switch polls.Add(1) {
+		case 1:
+			_, _ = fmt.Fprint(w, pageText(1, purgeEvent(1)))
+		case 2: // breaks off
+			_, _ = fmt.Fprint(w, pageText(3, purgeEvent(2), purgeEvent(3))[:90])
+		case 3: // no response that counts
+			http.Error(w, "no", http.StatusInternalServerError)
+		case 4: // silent
+			<-r.Context().Done()
+		default:
+			_, _ = fmt.Fprint(w, pageText(3, purgeEvent(3)))
+		}
+	}))
+	for want := 1; want <= 3; want++ {
+		expectGroup(t, groups, want)
+	}
+	want := []notification.ReportKind{
+		notification.AddressChanged,
+		notification.PollSent, notification.Current,
+		notification.PollSent, notification.PollBroken,
+		notification.PollSent, notification.PollFailed,
+		notification.PollSent, notification.PollOverdue,
+		notification.PollSent, notification.Current,
+	}
+	await := time.Now().Add(5 * time.Second)
+	for {
+		mu.Lock()
+		got := slices.Clone(kinds[:min(len(kinds), len(want))])
+		mu.Unlock()
+		if slices.Equal(got, want) {
+			return
+		}
+		if time.Now().After(await) {
+			t.Fatalf("reports %v, want %v", got, want)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -3,6 +3,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -14,10 +15,14 @@
 	"fennelarch/internal/limits"
 	"fennelarch/internal/stalldetect"
 	"fennelarch/internal/system"
+	"fennelarch/policy/notification"
 
 	"go.uber.org/zap"
 )
 
+// latenessFactor is how many times later than the last response the next one may be before it is overdue.
+const latenessFactor = 2
+
 // Options configures a Watcher. The functions and Stalls may be nil.
 type Options struct {
 	Limits  limits.Limits
@@ -25,10 +30,8 @@
 	Address string       // address of the discovery server
 	Log     *zap.Logger
 
-	// OnCurrent is called when all events published before asOf have been delivered.
-	OnCurrent func(asOf time.Time)
-	// OnGap is called when a published event will never be delivered.
-	OnGap func()
+	// OnReport takes reports on how current the delivered events are, and may be called by several goroutines.
+	OnReport func(report engine.DiscoveryReport)
 	// Stalls reports whether the process was stopped during a poll.
 	Stalls *stalldetect.Detector
 	// Dial opens connections to the discovery server; nil means the system's dialer.
@@ -37,36 +40,35 @@
 
 // Watcher polls a discovery server. Only SetAddress may be called concurrently with other methods.
 type Watcher struct {
-	limits    limits.Limits
-	names     config.Names
-	log       *zap.Logger
-	onCurrent func(asOf time.Time)
-	onGap     func()
-	stalls    *stalldetect.Detector
-	dial      func(ctx context.Context, network, address string) (net.Conn, error)
-
-	lastEvent     int64     // number of the last event that was delivered or skipped
-	firstAfterGap int64     // number of the first event after a gap in an earlier page
-	behindSince   time.Time // when the server first reported a number below lastEvent; zero if the server is not behind
-	lastResponse  time.Time // when the last page without an error was received; zero if none was
-	isFailing     bool      // the last poll failed, and the failure is logged
+	limits limits.Limits
+	names  config.Names
+	log    *zap.Logger
+	report func(report engine.DiscoveryReport)
+	stalls *stalldetect.Detector
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+
+	lastPoll      int           // number of the last poll that was sent
+	lastCompleted int           // number of the newest poll that brought a page without an error
+	lateness      time.Duration // of the last response without an error
+	lastEvent     int64         // number of the last event that was delivered or skipped
+	firstAfterGap int64         // number of the first event after a gap in an earlier page
+	behindSince   time.Time     // when the server first reported a number below lastEvent; zero if it is not behind
+	lastResponse  time.Time     // when the last response without an error began; zero if there was none
+	isFailing     bool          // the last poll failed, and the failure is logged
 
 	mu         sync.Mutex
 	address    string
-	cancelPoll context.CancelFunc // cancels the current poll, or the pause after it
+	cancelPoll context.CancelFunc // cancels the polls at the current address
 }
 
 // New returns a Watcher that has not received any event.
 func New(options Options) *Watcher {
 	watcher := &Watcher{
 		limits: options.Limits, names: options.Names, address: options.Address, log: options.Log,
-		onCurrent: options.OnCurrent, onGap: options.OnGap, stalls: options.Stalls, dial: options.Dial,
-	}
-	if watcher.onCurrent == nil {
-		watcher.onCurrent = func(time.Time) {}
+		report: options.OnReport, stalls: options.Stalls, dial: options.Dial,
 	}
-	if watcher.onGap == nil {
-		watcher.onGap = func() {}
+	if watcher.report == nil {
+		watcher.report = func(engine.DiscoveryReport) {}
 	}
 	if watcher.dial == nil {
 		watcher.dial = system.DialContext
@@ -83,6 +85,7 @@
 		return
 	}
 	w.log.Info("discovery address changed", zap.String("address", address))
+	w.report(engine.DiscoveryReport{Kind: notification.AddressChanged, At: time.Now()})
 	w.address = address
 	if w.cancelPoll != nil {
 		w.cancelPoll()
@@ -103,26 +106,11 @@
 func (w *Watcher) Run(ctx context.Context, post func(at time.Time, message engine.Message)) {
 	client := w.newHTTPClient()
 	deliver := func(message engine.Message) { post(time.Now(), message) }
-	pause := newBackoff(w.limits.BackoffMin, w.limits.BackoffMax)
-	previousAddress := ""
 	for ctx.Err() == nil {
 		pollCtx, address, cancel := w.pollContext(ctx)
-		if address != previousAddress {
-			previousAddress = address
-			pause.reset()
-			client.CloseIdleConnections()
-		}
-		start, previousEvent := time.Now(), w.lastEvent
-		err := w.poll(pollCtx, client, address, deliver)
-		w.logPoll(pollCtx, err)
-		hasNewEvents := w.lastEvent > previousEvent
-		wasHeld := err == nil && time.Since(start) > w.limits.BackoffMin
-		if hasNewEvents || wasHeld {
-			pause.reset()
-		} else { // an immediate poll would have the same result
-			pause.wait(pollCtx)
-		}
+		w.newPoller(pollCtx, client, address, deliver).run()
 		cancel()
+		client.CloseIdleConnections()
 	}
 }
 
@@ -139,14 +127,80 @@
 	}}
 }
 
-// logPoll logs the first of consecutive failures, and the recovery. A poll whose context was cancelled does not count
-// as failed.
-func (w *Watcher) logPoll(pollCtx context.Context, err error) {
+// newPoll returns the next poll. The slower the server was last, the later its response counts as overdue.
+func (w *Watcher) newPoll() *poll {
+	w.lastPoll++
+	patience := min(latenessFactor*w.lateness, w.limits.PollPageTimeout)
+	return &poll{
+		limits: &w.limits, report: w.report, number: w.lastPoll, after: w.lastEvent, start: time.Now(),
+		responseTimeout: max(w.limits.PollTimeout, w.limits.PollHold+patience),
+		stallTimeout:    max(w.limits.PollStallTimeout, patience),
+		overdue:         make(chan struct{}, 1),
+	}
+}
+
+// handleResult applies the events that a poll has brought, and reports how current the delivered events are.
+func (w *Watcher) handleResult(result *pollResult, isNewest bool, deliver func(engine.Message)) error {
+	if w.isOutdated(result) {
+		return nil
+	}
+	age := time.Duration(0)
+	if !result.respondedAt.IsZero() {
+		age = w.maxEventAge(result.poll.start, result.respondedAt) + result.endedAt.Sub(result.respondedAt)
+	}
+	applyErr := w.Apply(&result.page, age, deliver)
+	if err := cmp.Or(applyErr, result.err); err != nil {
+		w.reportFailure(result, isNewest)
+		return err
+	}
+	w.lastCompleted = max(w.lastCompleted, result.poll.number)
+	w.lateness = result.lateness()
+	if result.respondedAt.After(w.lastResponse) {
+		w.lastResponse = result.respondedAt
+	}
+	if w.lastEvent >= result.page.lastEvent {
+		w.report(engine.DiscoveryReport{Kind: notification.Current, At: result.poll.start})
+	}
+	return nil
+}
+
+// isOutdated reports whether a newer poll has brought more. The numbers of an older page do not show a new server then.
+func (w *Watcher) isOutdated(result *pollResult) bool {
+	return result.poll.number < w.lastCompleted && result.page.lastEvent < w.lastEvent
+}
+
+// reportFailure reports how the newest poll failed. An older one was reported as overdue.
+func (w *Watcher) reportFailure(result *pollResult, isNewest bool) {
+	switch {
+	case !isNewest || result.err == nil:
+	case result.respondedAt.IsZero():
+		w.report(engine.DiscoveryReport{Kind: notification.PollFailed, At: result.endedAt})
+	default:
+		w.report(engine.DiscoveryReport{Kind: notification.PollBroken, At: result.endedAt})
+	}
+}
+
+// maxEventAge returns how long before the beginning of its response the events of a poll may have been published. The
+// events of a prompt response, or of a poll during which the process stalled, may be as old as the previous response.
+// Others were published while the server held the poll.
+func (w *Watcher) maxEventAge(start, respondedAt time.Time) time.Duration {
+	promptWithin := max(w.limits.PollPromptWithin, latenessFactor*w.lateness)
+	switch {
+	case w.lastResponse.IsZero():
+		return engine.MaxAgeBeforeStart
+	case respondedAt.Sub(start) < promptWithin || w.stalls.StalledSince(start, respondedAt):
+		return respondedAt.Sub(w.lastResponse)
+	}
+	return w.lateness
+}
+
+// logPoll logs the first of consecutive failures, and the recovery.
+func (w *Watcher) logPoll(err error) {
 	switch {
 	case err == nil && w.isFailing:
 		w.log.Info("discovery recovered", zap.Int64("last_event", w.lastEvent))
 		w.isFailing = false
-	case err != nil && !w.isFailing && pollCtx.Err() == nil:
+	case err != nil && !w.isFailing:
 		w.log.Warn("discovery poll failed", zap.Error(err))
 		w.isFailing = true
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 
 	"fennelarch/internal/flightrecorder"
 	"fennelarch/internal/invariant"
+	"fennelarch/policy/notification"
 	"fennelarch/policy/routing"
 
 	"go.uber.org/zap"
@@ -63,6 +64,7 @@
 
 	requests   map[routing.RequestID]*activeRequest
 	localCache *localCache
+	purgesDue  notification.Horizon // up to when purges count as notified
 	timers     timerHeap
 
 	actions   []routing.Action   // returned by the router's last call
@@ -90,6 +92,7 @@
 		bootTimes:        bootTimes{},
 		requests:         map[routing.RequestID]*activeRequest{},
 		localCache:       newLocalCache(options.LocalCache),
+		purgesDue:        notification.New(notification.SettingsFor(&options.Routing)),
 	}
 	engine.watchClockSteps(options.Monitor, options.OnClockStep)
 	return engine
@@ -202,6 +205,8 @@
 		e.handleEndpointList(&message)
 	case Purge:
 		e.handlePurge(message)
+	case DiscoveryReport:
+		e.purgesDue.Record(message.Since(e.startTime))
 	case ClientGone:
 		e.handleClientGone(message)
 	case Shutdown:
--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -5,11 +5,12 @@
 	"time"
 
 	"fennelarch/internal/invariant"
+	"fennelarch/policy/notification"
 	"fennelarch/policy/routing"
 )
 
-// Message is a message to the engine: a *Request, AttemptResult, HealthCheckResult, EndpointList, Purge, ClientGone or
-// Shutdown. All but the first are sent as values.
+// Message is a message to the engine: a *Request, AttemptResult, HealthCheckResult, EndpointList, Purge,
+// DiscoveryReport, ClientGone or Shutdown. All but the first are sent as values.
 type Message interface{ engineMessage() }
 
 func (*Request) engineMessage()          {}
@@ -17,6 +18,7 @@
 func (HealthCheckResult) engineMessage() {}
 func (EndpointList) engineMessage()      {}
 func (Purge) engineMessage()             {}
+func (DiscoveryReport) engineMessage()   {}
 func (ClientGone) engineMessage()        {}
 func (Shutdown) engineMessage()          {}
 
@@ -109,6 +111,18 @@
 	Issued time.Time
 }
 
+// DiscoveryReport reports how current the delivered endpoint lists and purges are.
+type DiscoveryReport struct {
+	Kind notification.ReportKind
+	At   time.Time
+	Hold time.Duration // of a poll that was sent: how long the server may hold it
+}
+
+// Since returns the report for a clock that was at 0 at the given time.
+func (r DiscoveryReport) Since(start time.Time) notification.Report {
+	return notification.Report{Kind: r.Kind, At: r.At.Sub(start), Hold: r.Hold}
+}
+
 // ClientGone reports that a client no longer waits for a request.
 type ClientGone struct{ Request routing.RequestID }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -69,8 +69,9 @@
 
 	// Discovery.
 	PollHold             time.Duration // time for which the server may hold a poll open
-	PollTimeout          time.Duration // time for the start of the response to a poll
-	PollStallTimeout     time.Duration // time after which a response that makes no progress is abandoned
+	PollTimeout          time.Duration // time after which a response that has not begun is overdue
+	PollStallTimeout     time.Duration // time after which a response that makes no progress is overdue
+	PollGiveUp           time.Duration // time after which a poll without a sign of life is abandoned
 	PollPageTimeout      time.Duration // time after which a response that does not end is cut off; its events apply
 	PollPromptWithin     time.Duration // time within which a response is prompt: its events are older than the poll
 	DiscoveryRewindAfter time.Duration // time after which a server that is behind the last event counts as a new server
@@ -220,7 +221,8 @@
 func (l *Limits) setDiscovery() {
 	l.PollHold = 2 * time.Second                // if lower, the server is polled more often without news
 	l.PollTimeout = 2500 * time.Millisecond     // must exceed PollHold, or polls without news fail
-	l.PollStallTimeout = 500 * time.Millisecond // if lower, a pause ends a good response; if higher, news waits
+	l.PollStallTimeout = 500 * time.Millisecond // if lower, a slow server is polled twice; if higher, news waits
+	l.PollGiveUp = 7 * time.Second              // if lower, a slow server is never heard; if higher, connections are held
 	l.PollPageTimeout = 4 * time.Second         // if lower, a slow server never completes a page
 	l.PollPromptWithin = 500 * time.Millisecond // if lower, old events count as new; must be less than PollHold
 	l.DiscoveryRewindAfter = 3 * time.Second    // if lower, a server that is catching up counts as a new one
--- a/internal/sharedstore/discovery.go
+++ b/internal/sharedstore/discovery.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fennelarch/internal/engine"
+	"fennelarch/policy/notification"
 	"fennelarch/policy/routing"
 
 	policy "fennelarch/policy/sharedstore"
@@ -19,6 +20,8 @@
 	switch m := message.(type) {
 	case engine.Purge:
 		t.recordPurge(&m)
+	case engine.DiscoveryReport:
+		t.recordReport(m)
 	case engine.EndpointList:
 		m.Endpoints = t.withMarkedStores(m.Endpoints)
 		if m.Complete {
@@ -117,18 +120,16 @@
 	return false
 }
 
-// RecordDiscoveryCurrent records that every purge issued before a time has been observed.
-func (t *Transport) RecordDiscoveryCurrent(asOf time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.coordinator.RecordDiscoveryCurrent(policy.Timestamp(asOf.UnixMilli()))
-}
-
-// RecordDiscoveryGap records that purges may have been lost for good.
-func (t *Transport) RecordDiscoveryGap() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.coordinator.RecordDiscoveryGap(t.now())
+// recordReport takes a report on how current the messages of the discovery service are.
+func (t *Transport) recordReport(report engine.DiscoveryReport) {
+	t.coordinator.RecordDiscoveryReport(t.now(), report.Since(t.startedAt))
+	switch report.Kind {
+	case notification.Current:
+		t.coordinator.RecordDiscoveryCurrent(policy.Timestamp(report.At.UnixMilli()))
+	case notification.EventsLost:
+		t.coordinator.RecordDiscoveryGap(t.now())
+	default:
+	}
 }
 
 // RecordClockStep records that the wall clock was stepped by a duration.
--- a/internal/sharedstore/discovery_test.go
+++ b/internal/sharedstore/discovery_test.go
@@ -9,6 +9,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"fennelarch/policy/notification"
+
 	policy "fennelarch/policy/sharedstore"
 )
 
@@ -17,15 +19,15 @@
 	f := newUnconnectedFixture(t)
 	startedAt := f.startedAt.UnixMilli()
 
-	f.RecordDiscoveryCurrent(f.startedAt.Add(300 * time.Millisecond))
-	f.RecordDiscoveryCurrent(f.startedAt.Add(200 * time.Millisecond)) // an older time does not shorten the range
+	f.reportCurrent(f.startedAt.Add(300 * time.Millisecond))
+	f.reportCurrent(f.startedAt.Add(200 * time.Millisecond)) // an older time does not shorten the range
 	update := f.planLogUpdate()
 	if from, to := int64(update.CompleteFrom)-startedAt, int64(update.CompleteTo)-startedAt; from != 0 || to != 300 {
 		t.Errorf("the range is from %d to %d ms after the start, want 0 to 300", from, to)
 	}
 
 	earliest := time.Now().UnixMilli()
-	f.RecordDiscoveryGap()
+	f.ObserveDiscovery(engine.DiscoveryReport{Kind: notification.EventsLost, At: time.Now()})
 	latest := time.Now().UnixMilli()
 	update = f.planLogUpdate()
 	from, to := int64(update.CompleteFrom), int64(update.CompleteTo)
@@ -34,6 +36,11 @@
 	}
 }
 
+// reportCurrent reports that all events published before a time have been delivered.
+func (f *fixture) reportCurrent(asOf time.Time) {
+	f.ObserveDiscovery(engine.DiscoveryReport{Kind: notification.Current, At: asOf})
+}
+
 // planLogUpdate returns the update for a store without a log.
 func (f *fixture) planLogUpdate() policy.LogUpdate {
 	f.mu.Lock()
@@ -51,7 +58,7 @@
 			t.Fatal("the loss of data is not logged within 5 s")
 		}
 		for range 10 { // the log is written, and read again after the loss
-			f.RecordDiscoveryCurrent(time.Now())
+			f.reportCurrent(time.Now())
 			f.ObserveDiscovery(engine.Purge{Object: 77, Issued: time.Now()})
 			time.Sleep(5 * time.Millisecond)
 		}
--- a/policy/routing/retry_test.go
+++ b/policy/routing/retry_test.go
@@ -96,8 +96,8 @@
 	//   0.04s request 2: attempt to B, fill from P
 }
 
-// Rule 2: what a shared store lacks is fetched by the router, so a request runs at its source. With a key of scope cell,
-// it is not repeated at a source in another cell, though the store is the same; in the same cell it is.
+// Rule 2: what a shared store lacks is fetched by the router, so a request runs at its source. With a key of scope
+// cell, it is not repeated at a source in another cell, though the store is the same; in the same cell it is.
 func Example_idempotencyKeyThroughStore() {
 	settings := testSettings()
 	class := &settings.Classes[readClass]
--- a/policy/sharedstore/coordinator.go
+++ b/policy/sharedstore/coordinator.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"fennelarch/policy/notification"
 	"fennelarch/policy/routing"
 )
 
@@ -34,6 +35,7 @@
 	fillLimits      map[routing.EndpointID]*concurrencyLimit // by source
 	fillTime        latencyEstimate
 	invalidations   invalidationLog
+	purgesDue       notification.Horizon // up to when purges count as notified
 	random          randomSource
 	lastTimerID     uint64
 	slowStartMargin float64 // defaultSlowStartMargin, except in tests
@@ -59,6 +61,7 @@
 		endpoints:       map[routing.EndpointID]listedEndpoint{},
 		fillLimits:      map[routing.EndpointID]*concurrencyLimit{},
 		invalidations:   newInvalidationLog(settings.Epoch, settings.MaxTTL),
+		purgesDue:       notification.New(settings.Notification),
 		random:          newRandomSource(seed),
 		slowStartMargin: defaultSlowStartMargin,
 	}
--- a/policy/sharedstore/logsync.go
+++ b/policy/sharedstore/logsync.go
@@ -18,6 +18,7 @@
 import (
 	"time"
 
+	"fennelarch/policy/notification"
 	"fennelarch/policy/routing"
 )
 
@@ -74,6 +75,12 @@
 	c.invalidations.completeTo = max(c.invalidations.completeTo, asOf)
 }
 
+// RecordDiscoveryReport takes a report on how current the known purges are.
+func (c *Coordinator) RecordDiscoveryReport(now time.Duration, report notification.Report) {
+	c.now = max(now, c.now)
+	c.purgesDue.Record(report)
+}
+
 // RecordDiscoveryGap records that this router may never receive some of the purges issued until now.
 func (c *Coordinator) RecordDiscoveryGap(now time.Duration) {
 	c.now = max(now, c.now)
--- a/policy/sharedstore/settings.go
+++ b/policy/sharedstore/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fennelarch/policy/notification"
 	"fennelarch/policy/routing"
 )
 
@@ -30,8 +31,9 @@
 	MaxTTL             time.Duration // maximum time that a copy may stay in the store
 	DrainGrace         time.Duration // time that a draining endpoint allows for requests already on their way
 	PurgeCompleteAfter time.Duration // time after a purge by which a source has dropped the purged copies, 0: unknown
-	UseLease           bool          // whether a lease merges the fills of one object by several routers
-	Epoch              Timestamp     // wall-clock time at which the caller's monotonic clock was 0
+	Notification       notification.Settings
+	UseLease           bool      // whether a lease merges the fills of one object by several routers
+	Epoch              Timestamp // wall-clock time at which the caller's monotonic clock was 0
 }
 
 // WithDefaults returns the settings with defaults for the fields that are not set. A store without slow-start settings
@@ -56,6 +58,7 @@
 		s.MaxTTL = defaultMaxTTL
 	}
 	s.DrainGrace, s.PurgeCompleteAfter = r.DrainGrace, r.PurgeCompleteAfter
+	s.Notification = notification.SettingsFor(r)
 	return s
 }
 
