Copies that may be older than an unheard purge are not served

Cause: the local cache drops copies when their purge arrives, and the proof of a stored copy asks from when all purges are known; neither asks until when. Servers drop purged copies by themselves, a router's memory and a store do not.

A copy is served only if it is newer than every purge that counts as notified with its grace over, or if all of these are known; else it counts as a miss.

Ruled out: attempts at caches (they drop such copies within 6 s of the purge); a shorter fixed limit on the age of copies (it would empty the local cache in the first seconds of each outage).

Before: TestLocalCopiesDuringAnOutageOfDiscovery fails in 4 of 6 cases, TestHitsDuringAnOutageOfDiscovery in 2 of 4.

--- a/internal/engine/localcache.go
+++ b/internal/engine/localcache.go
@@ -183,7 +183,7 @@
 		maxAge = e.settings.Classes[request.Class].FreshDuration
 	}
 	entry := e.localCache.find(request.Request, maxAge, e.now)
-	if entry == nil {
+	if entry == nil || e.mayBePurged(entry) {
 		e.endAttempt(request, attempt, attemptCompleted)
 		e.pending = append(e.pending, attemptResultEvent(attempt, routing.CacheMiss))
 		return
@@ -207,6 +207,13 @@
 	heap.Push(&e.timers, timer{at: sentAt, request: request.ID, attempt: attempt})
 }
 
+// mayBePurged reports whether a copy may be older than a purge that has not arrived here, though it counts as notified
+// and its grace is over.
+func (e *Engine) mayBePurged(entry *cacheEntry) bool {
+	unknownUntil := e.purgesDue.UnknownUntil(e.now)
+	return unknownUntil > 0 && entry.generatedNotBefore < unknownUntil
+}
+
 // handlePurge applies a purge. A purge without a timestamp counts as issued now.
 func (e *Engine) handlePurge(purge Purge) {
 	e.monitor.Record(flightrecorder.Entry{
--- a/policy/sharedstore/coordinator.go
+++ b/policy/sharedstore/coordinator.go
@@ -176,7 +176,8 @@
 		return // the operation has already been answered
 	}
 	if !op.accepts(event.GeneratedAt) || c.isInFuture(event.GeneratedAt, event.ValidFrom) ||
-		!c.invalidations.provesCurrent(op.key.object, op.group, event.GeneratedAt, event.ValidFrom) {
+		!c.invalidations.provesCurrent(op.key.object, op.group, event.GeneratedAt, event.ValidFrom) ||
+		c.mayBePurged(event.GeneratedAt, event.ValidFrom) {
 		c.Counts.Stale++
 		c.input(op, inputMiss)
 		return
@@ -331,6 +332,13 @@
 // wallClock returns the current wall-clock time.
 func (c *Coordinator) wallClock() Timestamp { return c.settings.Epoch + Timestamp(c.now/ms) }
 
+// mayBePurged reports whether a copy may be older than a purge that this router does not know, though it counts as
+// notified and its grace is over.
+func (c *Coordinator) mayBePurged(generatedAt, validFrom Timestamp) bool {
+	unknownUntil := c.purgesDue.UnknownUntil(c.now)
+	return unknownUntil > 0 && max(generatedAt, validFrom) < c.settings.Epoch+Timestamp(unknownUntil/ms)+maxClockSkew
+}
+
 // isInFuture reports whether a copy's times are ahead of the wall clock. In that case a clock has been set back since,
 // and the times prove nothing.
 func (c *Coordinator) isInFuture(generatedAt, validFrom Timestamp) bool {
