Memory: bodies of requests and responses stay within limits by memory and descriptors

Cause: the bodies of open requests had no part of the memory that internal/limits divides, and no limit. Beside it: an input ring of 64 KB for each client and of 256 KB for each server connection, a new ring for nearly each write that wraps around, a second copy of each body, and timers that refer to bodies past the end of their request.

Change: a long last string bypasses the ring and is read into memory that is asked for when its length is announced. The admission policy grants request bodies and rejects the others at once, with a part left for connections that hold none and were served before; bodies from servers wait, unread, for memory; the local cache yields to both. Memory is given back when the engine is done with a request. Limits follow from memory and descriptors.

Ruled out: a limit on bodies alone (rings and their garbage took as much at full speed); a lower limit of the runtime (what is in use cannot be collected).

--- a/cmd/fennelarch/assemble.go
+++ b/cmd/fennelarch/assemble.go
@@ -122,6 +122,8 @@
 			FlowBytesPerSecond: r.config.FlowBytesPerSecond,
 			LinkBytesPerSecond: r.config.LinkBytesPerSecond,
 			MaxTransferTime:    r.limits.ForgetAfter,
+			SharedBytes:        r.limits.PayloadBytes,
+			SharedInUse:        r.payloadInUse,
 		},
 		Log:         r.log,
 		Monitor:     r.monitor,
@@ -129,6 +131,9 @@
 	})
 }
 
+// payloadInUse returns the memory of all bodies but those in the local cache.
+func (r *router) payloadInUse() int64 { return r.frontend.PayloadBytes() + r.upstream.PayloadBytes() }
+
 // buildFrontend creates the frontend. Reading its TLS keys is retried like reading any other file at startup.
 func (r *router) buildFrontend(retry *startupRetry) error {
 	options := frontend.Options{
--- a/cmd/fennelarch/serve.go
+++ b/cmd/fennelarch/serve.go
@@ -136,11 +136,10 @@
 	return cfg, operatorFile, nil
 }
 
-// applyRuntimeLimits limits the CPU cores and the memory of the Go runtime. A quarter of the memory is reserved for
-// memory that the runtime does not account for.
+// applyRuntimeLimits limits the CPU cores and the memory of the Go runtime.
 func applyRuntimeLimits(lim limits.Limits) {
 	runtime.GOMAXPROCS(int(math.Ceil(lim.Cores)))
-	debug.SetMemoryLimit(lim.Memory * 3 / 4)
+	debug.SetMemoryLimit(lim.HeapBytes())
 }
 
 // start starts the goroutines of the router. They run until the program ends, because the engine answers requests until
--- a/internal/engine/localcache.go
+++ b/internal/engine/localcache.go
@@ -17,6 +17,19 @@
 	FlowBytesPerSecond float64       // rate of one transfer
 	LinkBytesPerSecond float64       // rate of all transfers together
 	MaxTransferTime    time.Duration // longest time that a response can be in transit
+
+	// SharedBytes is memory that the copies share with others, to which they yield, and SharedInUse returns what these
+	// use of it. Without SharedInUse, nothing is shared.
+	SharedBytes int64
+	SharedInUse func() int64
+}
+
+// allowedBytes returns how much memory all copies may use now.
+func (s *LocalCacheSettings) allowedBytes() int {
+	if s.SharedInUse == nil {
+		return s.MaxBytes
+	}
+	return max(0, min(s.MaxBytes, int(s.SharedBytes-s.SharedInUse())))
 }
 
 // Capacity returns how many transfers fit on the link, or 0 if no copies can be kept.
@@ -102,13 +115,25 @@
 		return
 	}
 	c.remove(c.entries[entry.key])
-	for c.bytes+entry.bytes() > c.settings.MaxBytes {
-		c.remove(c.recentlyUsed.Back())
+	allowed := c.settings.allowedBytes()
+	if entry.bytes() > allowed {
+		return
 	}
+	c.evictDownTo(allowed - entry.bytes())
 	c.bytes += entry.bytes()
 	c.entries[entry.key] = c.recentlyUsed.PushFront(&entry)
 }
 
+// evictDownTo removes the least recently used copies until the others use no more than a number of bytes.
+func (c *localCache) evictDownTo(bytes int) {
+	for c.bytes > bytes {
+		c.remove(c.recentlyUsed.Back())
+	}
+}
+
+// yield removes copies whose memory others need.
+func (c *localCache) yield() { c.evictDownTo(c.settings.allowedBytes()) }
+
 func (c *localCache) isStorable(entry *cacheEntry) bool {
 	return len(entry.body) > 0 && !entry.generatedAt.IsZero() && entry.bytes() <= c.settings.MaxBytes
 }
--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -55,9 +55,21 @@
 	Timeout         time.Duration // how long after ReceivedAt the client gives up
 	ReceivedAt      time.Time     // earliest possible arrival of the last byte
 
+	// OnDone, if set, is called once the engine and the transport no longer use the request and its body. It must not
+	// block.
+	OnDone func()
+
 	Invariants *invariant.Request // shared record of how the request ends; nil: nothing is checked
 }
 
+// done drops the body, which timers may refer to for longer, and calls OnDone.
+func (r *Request) done() {
+	r.Body = nil
+	if r.OnDone != nil {
+		r.OnDone()
+	}
+}
+
 // AttemptResult reports how an attempt ended at its endpoint.
 type AttemptResult struct {
 	Attempt       *Attempt
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -63,6 +63,7 @@
 	if !request.Invariants.IsOpen() { // the client left while the request was in the queue
 		e.counts.Requests++
 		e.counts.ClientCancelled++
+		request.done()
 		return
 	}
 	deadline := min(e.shutdownDeadline, request.ReceivedAt.Sub(e.startTime)+request.Timeout)
@@ -128,7 +129,8 @@
 
 // removeIfDone removes a request that is closed and has no attempt in flight.
 func (e *Engine) removeIfDone(request *activeRequest) {
-	if !request.isOpen() && request.attemptsInFlight == 0 {
+	if e.requests[request.ID] == request && !request.isOpen() && request.attemptsInFlight == 0 {
 		delete(e.requests, request.ID)
+		request.done()
 	}
 }
--- a/internal/engine/timers.go
+++ b/internal/engine/timers.go
@@ -42,6 +42,7 @@
 func (e *Engine) Tick(now time.Duration) {
 	e.now = max(now, e.now)
 	e.ages.clock.compareIfDue(e.now)
+	e.localCache.yield()
 	for len(e.timers) > 0 && e.timers[0].at <= e.now {
 		due := heap.Pop(&e.timers).(timer)
 		switch due.kind() {
--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -23,6 +23,7 @@
 		delete(s.connections, event.Conn)
 	}
 	s.actions = s.admission.Handle(time.Since(s.start), &event, s.actions[:0])
+	s.bodyBytes.Store(s.admission.BodyBytes())
 	for _, action := range s.actions {
 		switch action.Kind {
 		case admission.CloseIdle:
@@ -123,19 +124,21 @@
 	_ = raw.Close()
 }
 
-// admitRequest passes an event of the session to the admission policy. For EventRequest, it returns whether the request
-// is admitted. The connection must be locked.
+// admitRequest passes an event of the session to the admission policy. For EventRequest and EventBody, it returns
+// whether the request or its body is admitted. The connection must be locked, except for EventBodyReleased.
 func (c *connection) admitRequest(event admission.Event) (retryAfter time.Duration, admitted bool) {
 	event.Conn = c.id
-	if event.Kind == admission.EventRequest {
-		if c.server.isDraining.Load() {
-			return 0, false
-		}
+	isRequest := event.Kind == admission.EventRequest
+	if c.server.isDraining.Load() && (isRequest || event.Kind == admission.EventBody) {
+		return 0, false
+	}
+	if isRequest {
 		event.Elapsed = c.server.eventQueueDelay()
 	}
 	decision, isDecided := c.server.handleAdmissionEvent(event)
 	admitted = isDecided && decision.Kind == admission.Accept
-	if admitted && !c.isReportedBusy { // on admission, the policy marks the connection busy to protect it from eviction
+	// On admission, the policy marks the connection busy to protect it from eviction.
+	if admitted && isRequest && !c.isReportedBusy {
 		c.isReportedBusy = true
 		c.server.busyCount.Add(1)
 	}
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -177,6 +177,7 @@
 	for _, message := range messages {
 		taken := c.server.post(at, message)
 		if request, isRequest := message.(*engine.Request); isRequest && !taken {
+			request.OnDone()
 			c.Respond(request.Tag, engine.Response{Status: engine.StatusRejected})
 		}
 	}
--- a/internal/frontend/heldinput.go
+++ b/internal/frontend/heldinput.go
@@ -14,7 +14,7 @@
 // scanHeldInput abandons the requests in flight that are cancelled in the held input. It returns the earliest deadline
 // of the requests in the held input, or the zero time if there are none.
 func (s *session) scanHeldInput() (firstDeadline time.Time) {
-	input, decoder := s.input.Copy(), s.decoder.NewWithSameLimits()
+	input, decoder := s.input.Copy(), s.decoder.ScanCopy()
 	for {
 		args, err := decoder.Next(&input)
 		if args == nil || err != nil {
--- a/internal/frontend/inflight.go
+++ b/internal/frontend/inflight.go
@@ -24,6 +24,10 @@
 // handleRequest opens a request if it is admitted and valid. The admission policy is asked before the request is
 // parsed, because a rejected request must cost next to nothing.
 func (s *session) handleRequest(tag engine.Tag, args [][]byte, arrivedAt time.Time) {
+	if s.decoder.IsBodySkipped() {
+		s.respondToSkippedBody(string(args[1]))
+		return
+	}
 	if retryAfter, admitted := s.admit(admission.Event{Kind: admission.EventRequest}); !admitted {
 		s.respondRejected(string(args[1]), retryAfter)
 		return
@@ -34,6 +38,12 @@
 		s.respondFailed(string(args[1]))
 		return
 	}
+	if retryAfter, hasMemory := s.takeBody(request, args); !hasMemory {
+		s.shared.release(request.ClientRequestID)
+		s.admit(admission.Event{Kind: admission.EventRequestEnd})
+		s.respondRejected(string(args[1]), retryAfter)
+		return
+	}
 	request.ID = routing.RequestID(s.shared.lastRequestID.Add(1))
 	request.Client, request.Tag, request.ReceivedAt = s.client, tag, arrivedAt
 	request.Invariants = s.shared.monitor.NewRequest(
@@ -72,6 +82,7 @@
 		return false
 	}
 	s.messages = slices.Delete(s.messages, index, index+1)
+	request.OnDone() // the engine never gets it
 	return true
 }
 
--- a/internal/frontend/parse.go
+++ b/internal/frontend/parse.go
@@ -13,7 +13,7 @@
 var errTagInUse = errors.New("tag is in use")
 
 // inputBuffer returns the buffer for the next read.
-func (s *session) inputBuffer() []byte { return s.input.Tail() }
+func (s *session) inputBuffer() []byte { return s.decoder.Buffer(&s.input) }
 
 // addInput adds bytes that were read into inputBuffer to the input, without parsing them. arrivedAt is the earliest
 // time at which they may have arrived.
@@ -21,7 +21,7 @@
 	if s.state == stateEstablished && s.input.Len() == 0 {
 		s.messageStartedAt = now
 	}
-	s.input.Commit(bytes)
+	s.decoder.Commit(&s.input, bytes)
 	s.arrivals.add(bytes, arrivedAt)
 }
 
@@ -38,11 +38,13 @@
 		if err == nil && args != nil {
 			s.recordMessage(now)
 			err = s.handleFrame(args, s.arrivals.takeArrivalTime(s.input.Len()-s.decoder.FrameBytes()))
+			s.releaseBody() // unless the request has taken it
 		}
 		if err != nil {
 			s.failInFlight()
 		}
 		if args == nil || err != nil {
+			s.input.Shrink()
 			return err
 		}
 	}
--- a/internal/frontend/rejection.go
+++ b/internal/frontend/rejection.go
@@ -19,7 +19,7 @@
 // wait for input, because too many connections are being rejected at the same time.
 func (s *Server) rejectWithoutWaiting(raw net.Conn, retryAfter time.Duration) {
 	bounds := &s.shared.limits
-	input, decoder := resp.Ring{MaxBytes: bounds.ClientReadBuffer}, newDecoder(bounds)
+	input, decoder := newRejectionInput(bounds)
 	input.Append(readAvailable(raw))
 	output := appendRejections(nil, &decoder, &input, bounds.FieldBytes, retryAfter)
 	if len(output) == 0 {
@@ -29,6 +29,13 @@
 	_, _ = raw.Write(output)
 }
 
+// newRejectionInput returns a ring and a decoder that discards bodies: all requests are rejected.
+func newRejectionInput(bounds *limits.Limits) (resp.Ring, resp.Decoder) {
+	decoder := newDecoder(bounds)
+	decoder.AllocateBody = func([][]byte, int) ([]byte, resp.BodyDecision) { return nil, resp.BodySkipped }
+	return resp.Ring{MaxBytes: bounds.ClientReadBuffer}, decoder
+}
+
 // readAvailable reads the input that the kernel holds, without blocking.
 func readAvailable(raw net.Conn) []byte {
 	buffer, count := make([]byte, rejectReadBytes), 0
@@ -87,10 +94,10 @@
 // there was one, and the error of the write. It gives up when the input buffer is full, because reads into an empty
 // buffer would repeat forever.
 func respondRejected(raw net.Conn, bounds *limits.Limits, retryAfter time.Duration) (responded bool, err error) {
-	input, decoder := resp.Ring{MaxBytes: bounds.ClientReadBuffer}, newDecoder(bounds)
+	input, decoder := newRejectionInput(bounds)
 	for {
-		count, readErr := raw.Read(input.Tail())
-		input.Commit(count)
+		count, readErr := raw.Read(decoder.Buffer(&input))
+		decoder.Commit(&input, count)
 		output := appendRejections(nil, &decoder, &input, bounds.FieldBytes, retryAfter)
 		if len(output) > 0 {
 			_, err := raw.Write(output)
--- a/internal/frontend/requestfields.go
+++ b/internal/frontend/requestfields.go
@@ -21,7 +21,8 @@
 	lastPrintable   = '~'
 )
 
-// parseRequest parses the class, fields and body of a request. It returns nil if the request is invalid.
+// parseRequest parses the class and fields of a request, and checks the length of its body. It returns nil if the
+// request is invalid.
 func (s *session) parseRequest(args [][]byte) *engine.Request {
 	if len(args) < minRequestArgs || len(args) > maxRequestArgs {
 		return nil
@@ -38,13 +39,9 @@
 	if len(args) <= bodyIndex {
 		return request
 	}
-	body := args[bodyIndex]
-	if len(body) > s.shared.limits.RequestBodyBytes {
+	if len(args[bodyIndex]) > s.shared.limits.RequestBodyBytes {
 		return nil
 	}
-	if len(body) > 0 {
-		request.Body = append([]byte(nil), body...)
-	}
 	return request
 }
 
--- a/internal/frontend/responses.go
+++ b/internal/frontend/responses.go
@@ -110,7 +110,12 @@
 func (s *session) nextOutput() []byte { return s.output.Next(s.beginNextResponse) }
 
 // advanceOutput removes bytes that were written from the output.
-func (s *session) advanceOutput(bytes int) { s.output.Advance(bytes) }
+func (s *session) advanceOutput(bytes int) {
+	s.output.Advance(bytes)
+	if s.output.Empty() {
+		s.output.Shrink()
+	}
+}
 
 // beginNextResponse starts to copy the next response into the output ring, and reports whether there was one. The body
 // of the previous response has been copied completely.
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -39,6 +39,7 @@
 	busyCount       atomic.Int64   // connections with open requests or pending output
 	openSocketCount atomic.Int64   // accepted connections that are not closed yet
 	rejectingCount  atomic.Int64   // connections being rejected
+	bodyBytes       atomic.Int64   // memory of request bodies
 	lingeringCount  atomic.Int64   // evicted connections that linger until their output has arrived
 	isDraining      atomic.Bool
 
@@ -89,6 +90,7 @@
 // withLimits returns the settings with the limits of the process filled in.
 func withLimits(settings admission.Settings, bounds *limits.Limits) admission.Settings {
 	settings.MaxConnections, settings.NoMessageIdlePenalty = bounds.ClientConnections, bounds.NoMessageIdlePenalty
+	settings.MaxBodyBytes = bounds.RequestPayloadBytes
 	return settings
 }
 
@@ -133,6 +135,9 @@
 	return len(s.connections)
 }
 
+// PayloadBytes returns the memory of the bodies of requests, and of responses that wait for their clients.
+func (s *Server) PayloadBytes() int64 { return s.bodyBytes.Load() + s.shared.backlogBytes.Load() }
+
 // AdmissionStatus returns the counts of admission decisions and the name of the overload mode.
 func (s *Server) AdmissionStatus() (counts admission.Counts, mode string) {
 	s.mu.Lock()
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -30,7 +30,8 @@
 
 	input            resp.Ring
 	decoder          resp.Decoder
-	arrivals         arrivals  // arrival times of the bytes in input
+	arrivals         arrivals // arrival times of the bytes in input
+	body             requestBody
 	messageStartedAt time.Time // start of the incomplete message, else end of the last message or start of the connection
 
 	inFlight map[engine.Tag]*engine.Request
@@ -47,12 +48,14 @@
 	admit func(admission.Event) (retryAfter time.Duration, admitted bool), now time.Time,
 ) *session {
 	bounds := &shared.limits
-	return &session{
+	s := &session{
 		shared: shared, client: client, state: stateAwaitingMessage, admit: admit,
 		input: resp.Ring{MaxBytes: bounds.ClientReadBuffer}, decoder: newDecoder(bounds), messageStartedAt: now,
 		inFlight: map[engine.Tag]*engine.Request{},
 		output:   resp.Writer{Ring: resp.Ring{MaxBytes: bounds.ClientWriteBuffer}},
 	}
+	s.decoder.AllocateBody = s.allocateBody
+	return s
 }
 
 // isIdle reports whether no request is in flight and no response waits to be written.
@@ -85,6 +88,7 @@
 
 func (s *session) closeWith(signal connectionSignal) {
 	s.transition(signal)
+	s.releaseBody()
 	for _, tag := range s.sortedTags() {
 		s.abandon(tag, invariant.EndClientLeft)
 	}
--- a/internal/frontend/wireformat.go
+++ b/internal/frontend/wireformat.go
@@ -112,8 +112,9 @@
 // newDecoder returns a decoder that accepts client frames up to the given limits.
 func newDecoder(bounds *limits.Limits) resp.Decoder {
 	return resp.Decoder{
-		MaxStrings:     bounds.MaxFrameStrings,
-		MaxStringBytes: bounds.ClientReadBuffer - 2*bounds.FieldBytes,
-		MaxFrameBytes:  bounds.ClientReadBuffer,
+		MaxStrings:       bounds.MaxFrameStrings,
+		MaxStringBytes:   bounds.ClientFrameBytes - 2*bounds.FieldBytes,
+		MaxFrameBytes:    bounds.ClientFrameBytes,
+		MaxBufferedBytes: bounds.ClientReadBuffer,
 	}
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -29,11 +29,15 @@
 	MaxSizeKB         float64       // kilobytes of the object that a request asks for
 	MaxRequestTimeout time.Duration // longest timeout that a request may ask for
 
-	// Memory in bytes. Buffers grow to these sizes only when they need to.
+	// Memory in bytes. Buffers grow to these sizes only when they need to. Long bodies are not read into buffers.
+	ClientFrameBytes     int   // frame of a client
 	ClientReadBuffer     int   // input of one client connection
 	ClientWriteBuffer    int   // output of one client connection
 	UpstreamReadBuffer   int   // input of one upstream connection
 	UpstreamWriteBuffer  int   // output of one upstream connection
+	PayloadBytes         int64 // bodies of all kinds together; the local cache yields to the others
+	RequestPayloadBytes  int64 // bodies of all requests
+	UpstreamPayloadBytes int64 // bodies of all responses that are being received
 	LocalCacheBytes      int   // local cache
 	ResponseBacklogBytes int64 // bodies of all responses that wait for their clients
 	DiscoveryPageBytes   int64 // one response of the discovery server
@@ -166,7 +170,7 @@
 // setFrames sets the limits on what clients and servers send. Values that are too low make valid messages fail.
 func (l *Limits) setFrames(inputs *Inputs) {
 	l.MaxFrameStrings = 8
-	l.RequestBodyBytes = 48_000   // with its fields, must fit into ClientReadBuffer
+	l.RequestBodyBytes = 48_000   // with its fields, must fit into ClientFrameBytes
 	l.ResponseBodyBytes = 240_000 // with its fields, must fit into UpstreamReadBuffer
 	l.FieldBytes = 1 << 10
 	l.MaxSizeKB = 1e9
@@ -175,15 +179,56 @@
 
 // setMemory divides the memory. Larger sizes let the process exceed its memory.
 func (l *Limits) setMemory(inputs *Inputs) {
-	l.ClientReadBuffer = 64 << 10                            // if lower, connections with a large request are closed
-	l.ClientWriteBuffer = 32 << 10                           // if lower, a large response takes more writes
-	l.UpstreamReadBuffer = 256 << 10                         // if lower, connections with a large response are closed
-	l.UpstreamWriteBuffer = 64 << 10                         // if lower, a large attempt takes more writes
+	l.ClientFrameBytes = 64 << 10    // if lower, connections with a large request are closed
+	l.ClientReadBuffer = 16 << 10    // if lower, connections with long fields are closed
+	l.ClientWriteBuffer = 32 << 10   // if lower, a large response takes more writes
+	l.UpstreamReadBuffer = 256 << 10 // if lower, connections with a large response are closed
+	l.UpstreamWriteBuffer = 64 << 10 // if lower, a large attempt takes more writes
+
+	l.UpstreamConnections = l.upstreamConnections()          // if lower, attempts share connections
+	l.PayloadBytes = l.payloadBytes()                        // if lower, fewer bodies are held at once
+	l.RequestPayloadBytes = l.PayloadBytes / 3               // if lower, writes that come together are rejected
+	l.UpstreamPayloadBytes = l.PayloadBytes / 2              // if lower, large responses wait for each other
 	l.LocalCacheBytes = inputs.memoryBytes() / 4             // if lower, fewer requests are served while servers are busy
 	l.ResponseBacklogBytes = int64(inputs.memoryBytes()) / 6 // if lower, slow readers lose responses
 	l.DiscoveryPageBytes = 4 << 20                           // if lower, a long endpoint list is cut off
 }
 
+const (
+	// heapShare is the part of the process's memory that the Go runtime is told to stay within. The rest is for memory
+	// that the runtime does not account for, and for what is allocated while it collects garbage.
+	heapShare = 0.75
+	// liveShare is the part of the heap that may be in use: with more, the runtime would collect garbage all the time.
+	liveShare = 0.85
+	// fixedBytes is what a router needs besides bodies and connections.
+	fixedBytes = 7 << 20
+	// connectionBytes is what a connection needs: two stacks and two buffers of the smallest size.
+	connectionBytes = 24 << 10
+	// minPayloadDivisor divides the memory to give the memory for bodies if connections could take all of it.
+	minPayloadDivisor = 8
+)
+
+// HeapBytes returns the memory that the Go runtime is told to stay within.
+func (l *Limits) HeapBytes() int64 { return int64(heapShare * float64(l.Memory)) }
+
+// liveBytes returns the memory that may be in use.
+func (l *Limits) liveBytes() int64 { return int64(liveShare * float64(l.HeapBytes())) }
+
+// upstreamConnections returns how many connections to endpoints fit into the memory beside those of clients and the
+// smallest share of bodies, but no fewer than half of those to one endpoint.
+func (l *Limits) upstreamConnections() int {
+	left := l.liveBytes() - fixedBytes - l.Memory/minPayloadDivisor
+	fitting := int(left/connectionBytes) - l.ClientConnections - l.RejectedConnections
+	return min(l.UpstreamConnections, max(fitting, l.ConnectionsPerEndpoint/2))
+}
+
+// payloadBytes returns the memory that is left for bodies if all connections are open.
+func (l *Limits) payloadBytes() int64 {
+	connections := int64(l.ClientConnections + l.RejectedConnections + l.UpstreamConnections)
+	left := l.liveBytes() - fixedBytes - connections*connectionBytes
+	return max(left, l.Memory/minPayloadDivisor)
+}
+
 // setQueues sets the lengths of queues. Longer queues use more memory and let requests wait longer.
 func (l *Limits) setQueues() {
 	l.OpenPerConnection = 32 // if lower, clients that send several requests at once get failures
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -14,6 +14,35 @@
 	}
 }
 
+// What a router holds with all connections open and all bodies at their limits fits into its heap, for the memory and
+// descriptors that a platform gives.
+func TestMemoryFitsIntoTheHeap(t *testing.T) {
+	for _, memoryMB := range []int{32, 48, 64, 96, 192} {
+		for _, sockets := range []int{256, 384, 672, 1024} {
+			lim := Derive(Inputs{MemoryMB: memoryMB, Sockets: sockets})
+			connections := int64(lim.ClientConnections + lim.RejectedConnections + lim.UpstreamConnections)
+			held := fixedBytes + connections*connectionBytes + lim.PayloadBytes
+			if held > lim.HeapBytes() {
+				t.Errorf("%d MB, %d descriptors: %d bytes in use of a heap of %d", memoryMB, sockets, held, lim.HeapBytes())
+			}
+			if bodies := lim.RequestPayloadBytes + lim.UpstreamPayloadBytes; bodies > lim.PayloadBytes {
+				t.Errorf("%d MB, %d descriptors: bodies of %d bytes of %d", memoryMB, sockets, bodies, lim.PayloadBytes)
+			}
+			if lim.HeapBytes() >= lim.Memory {
+				t.Errorf("%d MB: a heap of %d bytes", memoryMB, lim.HeapBytes())
+			}
+		}
+	}
+}
+
+// A client may have as many writes open as a connection carries, however little memory there is.
+func TestRequestMemoryBearsOneClient(t *testing.T) {
+	lim := Derive(Inputs{MemoryMB: 32, Sockets: 256})
+	if bodies := lim.RequestPayloadBytes / int64(lim.RequestBodyBytes); bodies < int64(lim.OpenPerConnection) {
+		t.Errorf("memory for %d bodies, want %d", bodies, lim.OpenPerConnection)
+	}
+}
+
 // Shutdown ends before the platform kills the router. The platform waits for the longest deadline, or 3 s if that is
 // shorter, plus 0.7 s.
 func TestShutdownEndsBeforeThePlatformKills(t *testing.T) {
--- a/internal/resp/ring.go
+++ b/internal/resp/ring.go
@@ -1,8 +1,10 @@
 // Package resp encodes and decodes RESP2 messages in ring buffers: a Decoder finds arrays of bulk strings in a Ring, a
 // ReplyDecoder finds the replies of a store, and a Writer encodes frames into its Ring. The package uses no socket and
-// interprets no command. Byte slices are parsed and encoded with package redcon.
+// interprets no command. Byte slices are encoded with package redcon.
 package resp
 
+import "slices"
+
 // minBufferBytes is the minimum size of a ring's buffer, unless MaxBytes is smaller. An unused ring has no buffer.
 const minBufferBytes = 4 << 10
 
@@ -102,11 +104,22 @@
 // Peek returns the first n bytes as one slice, which is valid until bytes are next added or discarded.
 func (r *Ring) Peek(n int) []byte {
 	if r.head+n > len(r.buffer) {
-		r.moveTo(make([]byte, len(r.buffer)))
+		r.rotate()
 	}
 	return r.buffer[r.head : r.head+n]
 }
 
+// rotate moves the first byte to the start of the buffer, in place: memory for a second buffer may be short.
+func (r *Ring) rotate() {
+	slices.Reverse(r.buffer[:r.head])
+	slices.Reverse(r.buffer[r.head:])
+	slices.Reverse(r.buffer)
+	r.head = 0
+}
+
+// Truncate removes all but the first n bytes.
+func (r *Ring) Truncate(n int) { r.size = min(r.size, n) }
+
 // Discard removes the first n bytes.
 func (r *Ring) Discard(n int) {
 	if r.size -= n; r.size == 0 {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -44,7 +44,7 @@
 		purpose:     purpose,
 		dialStarted: now,
 		wake:        make(chan struct{}, 1),
-		session:     newSession(&p.limits, &p.names),
+		session:     newSession(&p.limits, &p.names, &p.bodyMemory),
 		lastUsed:    now,
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -36,6 +36,7 @@
 
 	monitor              *invariant.Monitor
 	onDescriptorShortage func()
+	bodyMemory           memoryBudget
 
 	mu              sync.Mutex
 	endpoints       map[routing.EndpointID]*endpoint
@@ -72,6 +73,7 @@
 		dial:                 system.DialTimeout,
 		onDescriptorShortage: options.OnDescriptorShortage,
 		monitor:              options.Monitor,
+		bodyMemory:           memoryBudget{limit: options.Limits.UpstreamPayloadBytes},
 		endpoints:            map[routing.EndpointID]*endpoint{},
 	}
 	if options.ReportsWithHealthChecks {
@@ -87,6 +89,9 @@
 	return p.connectionCount
 }
 
+// PayloadBytes returns the memory of the response bodies that are being received.
+func (p *Pool) PayloadBytes() int64 { return p.bodyMemory.used.Load() }
+
 // Send queues an attempt on a connection to its endpoint. If that connection is just closing, Send tries another. If
 // the connection limits are exhausted or the source is unknown, the attempt counts as not sent, which says nothing
 // about its endpoint.
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -25,7 +25,7 @@
 		c.mu.Lock()
 		buffer := c.session.readBuffer()
 		c.mu.Unlock()
-		n, err := system.Read(socket, buffer)
+		n, err := c.readInto(socket, buffer)
 		now := time.Now()
 		input := c.handleRead(n, now)
 		if input.becameIdle && input.err == nil && !input.isRetired {
@@ -47,6 +47,20 @@
 	}
 }
 
+// readInto reads into a buffer. If that is empty, there is no memory for the body of a response, and it only waits.
+func (c *connection) readInto(socket net.Conn, buffer []byte) (int, error) {
+	if len(buffer) > 0 {
+		return system.Read(socket, buffer)
+	}
+	time.Sleep(c.pool.limits.RecheckInterval)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.isClosed() {
+		return 0, net.ErrClosed
+	}
+	return 0, nil
+}
+
 // handleRead passes the bytes read to the session.
 func (c *connection) handleRead(n int, now time.Time) (input readResult) {
 	c.mu.Lock()
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -19,19 +19,17 @@
 	responseID = iota
 	responseStatus
 	responseFields
-	responseBody
+	responseBodyIndex
 )
 
-// readBuffer returns the buffer for the next read. The caller passes the number of bytes read to handleRead.
-func (s *session) readBuffer() []byte { return s.input.Tail() }
+// readBuffer returns the buffer for the next read. The caller passes the number of bytes read to handleRead. The buffer
+// is empty while there is no memory for the body of a response; handleRead then asks again.
+func (s *session) readBuffer() []byte { return s.decoder.Buffer(&s.input) }
 
 // handleRead handles n bytes that were read into readBuffer. After an error, nothing more on the connection can be
 // trusted.
 func (s *session) handleRead(n int, now time.Time) error {
-	if n == 0 {
-		return nil
-	}
-	s.input.Commit(n)
+	s.decoder.Commit(&s.input, n)
 	for {
 		response, err := s.decoder.Next(&s.input)
 		if err != nil {
@@ -44,7 +42,9 @@
 		}
 		s.responses++
 		s.hasSilentAbort = false
-		if err := s.handleResponse(response, now); err != nil {
+		err = s.handleResponse(response, now)
+		s.releaseBody()
+		if err != nil {
 			return err
 		}
 	}
@@ -82,10 +82,10 @@
 		return newResponseError(id, problemOtherETag, nil) // the server must name the client's copy
 	}
 	if status == statusOK {
-		if len(response) <= responseBody {
+		if len(response) <= responseBodyIndex {
 			return newResponseError(id, problemNoBody, nil)
 		}
-		result.Body = bytes.Clone(response[responseBody])
+		result.Body = s.bodyOf(response)
 	}
 	delete(s.inFlight, requestID)
 	s.rememberAnswered(requestID, now)
--- a/internal/upstream/session.go
+++ b/internal/upstream/session.go
@@ -51,6 +51,8 @@
 	input   resp.Ring
 	decoder resp.Decoder
 	output  resp.Writer
+	memory  *memoryBudget // of the bodies that are being received
+	body    responseBody  // that is being received
 
 	waiting       []exchange                           // not begun: no byte is in the output stream
 	inFlight      map[engine.ClientRequestID]exchange  // begun, without a response
@@ -68,11 +70,12 @@
 	dialFailedLocally bool // the dial failed for a local reason, which says nothing about the server
 }
 
-func newSession(l *limits.Limits, names *protocolNames) *session {
+func newSession(l *limits.Limits, names *protocolNames, memory *memoryBudget) *session {
 	frameBytes := l.ResponseBodyBytes + fieldsPerResponse*l.FieldBytes
-	return &session{
+	created := &session{
 		limits: l,
 		names:  names,
+		memory: memory,
 		input:  resp.Ring{MaxBytes: l.UpstreamReadBuffer},
 		output: resp.Writer{Ring: resp.Ring{MaxBytes: l.UpstreamWriteBuffer}},
 		decoder: resp.Decoder{
@@ -84,6 +87,8 @@
 		aborted:  map[engine.ClientRequestID]time.Time{},
 		checks:   map[uint64]healthCheck{},
 	}
+	created.decoder.AllocateBody = created.allocateBody
+	return created
 }
 
 // pending returns the number of attempts waiting or in flight.
@@ -147,6 +152,7 @@
 		return true
 	}
 	delete(s.inFlight, id)
+	s.skipBody(id)
 	s.hasPartialAbort = s.hasPartialAbort || e.streamEnd > s.output.WrittenBytes
 	s.hasSilentAbort = s.hasSilentAbort || e.responsesBefore == s.responses
 	s.controlFrames = appendAbort(s.controlFrames, id)
@@ -221,6 +227,9 @@
 // recordWritten records that the system has accepted the next n bytes of the output stream.
 func (s *session) recordWritten(n int, now time.Time) {
 	s.output.Advance(n)
+	if s.output.Empty() {
+		s.output.Shrink()
+	}
 	if e := &s.sending; e.attempt != nil && e.streamEnd <= s.output.WrittenBytes {
 		e.attempt.Request.Invariants.RecordAttemptWritten(e.attempt.Number, e.server.Endpoint, now)
 		s.sending = exchange{}
@@ -269,6 +278,7 @@
 			Outcome:  routing.ConnectFailed,
 		})
 	}
+	s.skipBody(s.body.id)
 	s.waiting = nil
 	s.inFlight = map[engine.ClientRequestID]exchange{}
 	s.checks = map[uint64]healthCheck{}
--- a/internal/upstream/session_test.go
+++ b/internal/upstream/session_test.go
@@ -22,7 +22,7 @@
 	return newSession(&testLimits, &protocolNames{
 		classes:       []string{"clip", "signoff"},
 		reportColumns: []string{"util", "x1"},
-	})
+	}, &memoryBudget{limit: testLimits.UpstreamPayloadBytes})
 }
 
 // writeAttempt queues an attempt, records the first length bytes of its frame as written, and returns these.
--- a/policy/admission/connection.go
+++ b/policy/admission/connection.go
@@ -42,6 +42,8 @@
 	isReserved    bool // occupies a slot reserved for known peers
 	isHandshaking bool
 
+	bodyBytes          int64 // memory of the request bodies that are held
+	hasBeenServed      bool  // a request was served in time
 	openRequests       int
 	openKnownRequests  int           // those of openRequests that were opened while the peer was known
 	rejectionsInRow    int           // requests rejected since the last admitted one
--- a/policy/admission/controller.go
+++ b/policy/admission/controller.go
@@ -3,8 +3,8 @@
 // takes events with their times and returns the resulting actions.
 //
 // controller.go dispatches the events and is the place to start reading. connection.go, peers.go and mode.go hold the
-// states and their transition tables; eviction.go, handshakes.go, requestquota.go and descriptors.go make one decision
-// each.
+// states and their transition tables; eviction.go, handshakes.go, requestquota.go, memory.go and descriptors.go make
+// one decision each.
 package admission
 
 import "time"
@@ -36,6 +36,7 @@
 	handshakeCPUSeconds    float64 // CPU time left for handshakes; negative when overdrawn
 	handshakeCPURefilledAt time.Duration
 
+	bodyBytes            int64 // memory of the request bodies that are held
 	openRequests         int
 	openKnownRequests    int     // those of openRequests that belong to known peers
 	unknownRequestLimit  float64 // limit on the open requests of unknown peers
@@ -87,6 +88,8 @@
 		c.handleUpstreamDescriptorsExhausted()
 	case EventDescriptorAvailable:
 		c.handleDescriptorAvailable()
+	case EventBodyReleased:
+		c.handleBodyReleased(event)
 	default:
 		if index, isOpen := c.connectionIndex[event.Conn]; isOpen {
 			c.handleConnectionEvent(index, event)
@@ -181,6 +184,8 @@
 		c.handleRequest(index, event.Elapsed)
 	case EventRequestEnd:
 		c.handleRequestEnd(index, event)
+	case EventBody:
+		c.handleBody(index, event.Bytes)
 	case EventBusy:
 		c.transition(index, signalBusy)
 	case EventIdle:
--- a/policy/admission/event.go
+++ b/policy/admission/event.go
@@ -15,6 +15,8 @@
 	EventMessage                                       // Conn: a complete message was received
 	EventRequest                                       // Conn, Elapsed: the client sent a request
 	EventRequestEnd                                    // Conn, InTime, Rejected: a request has ended
+	EventBody                                          // Conn, Bytes: the client sends the body of a request
+	EventBodyReleased                                  // Conn, Bytes: an admitted body is no longer held
 	EventBusy                                          // Conn: a request is open or output is pending
 	EventIdle                                          // Conn: no request is open and no output is pending
 	EventClosed                                        // Conn: the connection was closed
@@ -31,5 +33,6 @@
 	TLS      bool          // the connection begins with a TLS handshake
 	InTime   bool          // the request was served within its latency objective
 	Rejected bool          // the request was rejected by the routing policy
+	Bytes    int64         // length of the body
 	Elapsed  time.Duration // CPU time of the handshake, or event queue delay of the request
 }
--- a/policy/admission/requestquota.go
+++ b/policy/admission/requestquota.go
@@ -82,6 +82,7 @@
 		c.knownRequestRejected = true
 	}
 	if event.InTime {
+		conn.hasBeenServed = true
 		c.reward(peer)
 	}
 }
