Upstream tests: the dial of an earlier connection is never overdue

A run of go test hung in internal/upstream for its 600 s, once, beside six other packages. Cause: two tests count a dial as overdue after 5 ms, also that of their first connection. If that takes longer, it gets a replacement, the second attempt goes there at once instead of into the blocked dial, and the test waits for ever on an unbuffered channel. Shown in a scratch copy with a first dial of 20 ms: TestDeadlineShrinksWhileWaiting hung. A blocked dial now counts as overdue after 100 ms, which is still less than each test waits; with the same delay both tests pass (5 of 5). Not reproduced by load alone: 16 to 40 processes at once, 0 of 224 runs.

--- a/internal/upstream/deadline_test.go
+++ b/internal/upstream/deadline_test.go
@@ -73,7 +73,7 @@
 	t.Run("moved to another connection", func(t *testing.T) {
 		server := newScriptedServer(t)
 		pool := newTestPool(t, func(l *limits.Limits) {
-			l.SlowConnect, l.ConnectionsPerEndpoint = 5*time.Millisecond, 2
+			l.SlowConnect, l.ConnectionsPerEndpoint = slowConnect, 2
 		})
 		pool.listEndpoint(1, routing.Ready, server.Addr().String())
 		busy := pool.sendAttempt(1, 1)
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -248,6 +248,10 @@
 	return release
 }
 
+// slowConnect is a time after which a blocked dial is overdue. It is long enough that the dial of an earlier connection
+// never is: that one would get a replacement, on which the attempts of the test would go.
+const slowConnect = 100 * time.Millisecond
+
 // blockFirstDial makes the first dial wait until the test sends its result on the returned channel. Later dials are not
 // delayed.
 func (p *testPool) blockFirstDial() chan error {
--- a/internal/upstream/reassign_test.go
+++ b/internal/upstream/reassign_test.go
@@ -45,13 +45,13 @@
 // moves to it. An attempt whose overdue dial fails in the end fails with it.
 func TestWaitingAttemptMovesToIdleConnection(t *testing.T) {
 	server := newScriptedServer(t)
-	pool := newTestPool(t, func(l *limits.Limits) { l.SlowConnect, l.ConnectionsPerEndpoint = 5*time.Millisecond, 2 })
+	pool := newTestPool(t, func(l *limits.Limits) { l.SlowConnect, l.ConnectionsPerEndpoint = slowConnect, 2 })
 	pool.listEndpoint(1, routing.Ready, server.Addr().String())
 	busy := pool.sendAttempt(1, 1)
 	receive(t, server.verbs)
 	dialResult := pool.blockFirstDial()
 	waiting := pool.sendAttempt(2, 1)
-	time.Sleep(30 * time.Millisecond) // the dial is overdue by now, and the limit allows no other
+	time.Sleep(2 * slowConnect) // the dial is overdue by now, and the limit allows no other
 	server.answers <- true
 	pool.wantResult(routing.Succeeded, busy)
 	server.answers <- true
