Review case 7: answers are lost while a large fleet's list changes

Cause: each list event rebuilds both rings (policy/routing rebuildRings), and waits in one queue with requests and deadlines. With 200 parents an event takes some 10 ms of one core, whatever it changes.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -26,6 +26,7 @@
 // cases maps the names of the cases to their scenarios. A scenario reports what broke the rule to the stage.
 var cases = map[string]func(*stage) error{
 	"unheard-purge": runUnheardPurge,
+	"replacement":   runReplacement,
 }
 
 func main() {
