Review case 8: a drain is heard too late after slow answers of discovery

Cause: newPoll (internal/discovery) waits longer for an open poll by twice the lateness of the last answer, up to 4 s. Behind a slow answer, a watch that falls silent is replaced after 6 s; what it would have told counts as told after 4 s.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(*stage) error{
 	"unheard-purge": runUnheardPurge,
 	"replacement":   runReplacement,
+	"silent-watch":  runSilentWatch,
 }
 
 func main() {
