--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -28,6 +28,7 @@
 	"unheard-purge": runUnheardPurge,
 	"replacement":   runReplacement,
 	"silent-watch":  runSilentWatch,
+	"slow-page":     runSlowPage,
 }
 
 func main() {
--- a/review/lab/platform.go
+++ b/review/lab/platform.go
@@ -22,6 +22,7 @@
 	cutEvent  int           // number of the event in whose middle an answer breaks off; 0: none
 	brokenOff chan struct{} // closed once an answer has broken off
 	lateness  time.Duration // by which each answer is late
+	rate      int           // bytes a second of an answer; 0: no limit
 	silenced  chan struct{} // closed once the polls that are open then fall silent
 	asked     chan poll     // receives each poll, if somebody waits for it
 }
@@ -94,6 +95,14 @@
 	p.stage.log("discovery answers %d ms late", lateness.Milliseconds())
 }
 
+// setRate limits the bytes a second of each answer; 0 ends the limit.
+func (p *platform) setRate(rate int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rate = rate
+	p.stage.log("discovery sends %d bytes a second (0: no limit)", rate)
+}
+
 // silence makes the polls that are open now fall silent: they are never answered, and their connections stay open.
 func (p *platform) silence() {
 	p.mu.Lock()
@@ -175,7 +184,7 @@
 // write writes an answer. One that is cut breaks off in the middle of its last event.
 func (p *platform) write(w http.ResponseWriter, text []byte, isCut bool) {
 	if !isCut {
-		_, _ = w.Write(text)
+		p.writeWhole(w, text)
 		return
 	}
 	hijacker, canHijack := w.(http.Hijacker)
@@ -201,3 +210,29 @@
 		close(p.brokenOff)
 	}
 }
+
+// writeWhole writes a whole answer, in pieces if the bytes a second are limited.
+func (p *platform) writeWhole(w http.ResponseWriter, text []byte) {
+	const piecesPerSecond = 20
+	p.mu.Lock()
+	rate := p.rate
+	p.mu.Unlock()
+	piece := len(text)
+	if rate > 0 {
+		piece = max(1, rate/piecesPerSecond)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	for sent := 0; sent < len(text); {
+		until := min(len(text), sent+piece)
+		if _, err := w.Write(text[sent:until]); err != nil {
+			p.stage.log("the router gave up an answer after %d of %d bytes", sent, len(text))
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		if sent = until; sent < len(text) {
+			time.Sleep(time.Second / piecesPerSecond)
+		}
+	}
+	p.stage.log("discovery has answered with %d bytes: %.100s", len(text), text)
+}
--- a/review/lab/replacement.go
+++ b/review/lab/replacement.go
@@ -25,9 +25,9 @@
 	if err != nil {
 		return err
 	}
-	settings := smallSettings(1)
+	settings := smallSettings()
 	settings["dcs"] = zoneNames()
-	first, err := on.newRouter("n1", routerConfig(discovery, settings))
+	first, err := on.newRouter(routerConfig(discovery, settings))
 	if err != nil {
 		return err
 	}
--- a/review/lab/settings.go
+++ b/review/lab/settings.go
@@ -3,9 +3,9 @@
 import "fmt"
 
 // smallSettings returns the settings of a small deployment, like those of the operators' pages.
-func smallSettings(routers int) map[string]any {
+func smallSettings() map[string]any {
 	return map[string]any{
-		"az": 0, "dcs": []string{"north"}, "shapes": []string{"standard", "parent", "origin"}, "n_instances": routers,
+		"az": 0, "dcs": []string{"north"}, "shapes": []string{"standard", "parent", "origin"}, "n_instances": 1,
 		"registry_mode": "automatic", "weight_source": "none",
 		"classes": []map[string]any{
 			{
@@ -31,7 +31,7 @@
 			"lifetime_by_class_ms": []int{0, 12000, 0}, "older_by_ms": []int{0, 0, 0},
 			"may_pass_by": true, "merges_fills": true, "neighbours": "location", "parent_floor": 0.069,
 			"parent_ramp_ms": 18000, "upper_fall_multiple": 2, "purge_grace_ms": 300, "root_kind": 2,
-			"second_tier_kind": 1, "says": "all", "seats_by_zone": []int{routers}, "origin_limit_factor": 2.5,
+			"second_tier_kind": 1, "says": "all", "seats_by_zone": []int{1}, "origin_limit_factor": 2.5,
 			"origin_bears_ms": 3000,
 		},
 	}
--- a/review/lab/stage.go
+++ b/review/lab/stage.go
@@ -129,7 +129,8 @@
 }
 
 // newRouter prepares a router with a configuration, whose name and listen address are filled in.
-func (s *stage) newRouter(name string, config map[string]any) (*router, error) {
+func (s *stage) newRouter(config map[string]any) (*router, error) {
+	name := fmt.Sprintf("n%d", len(s.routers)+1)
 	address, err := freeAddress()
 	if err != nil {
 		return nil, err
@@ -153,9 +154,8 @@
 	return os.Rename(temporary, r.configPath)
 }
 
-// launch starts the router's process and waits until the router answers a ping. The variables are added to its
-// environment.
-func (r *router) launch(variables ...string) error {
+// launch starts the router's process and waits until the router answers a ping.
+func (r *router) launch() error {
 	run, err := deployCommand(r.stage.root, "run")
 	if err != nil {
 		return err
@@ -167,7 +167,6 @@
 	r.command = exec.Command("/bin/sh", "-c", run)
 	r.command.Dir = r.stage.root
 	r.command.Env = append(os.Environ(), "RELAY_CONFIG="+r.configPath, "RELAY_NAME="+r.name, "RELAY_LISTEN="+r.address)
-	r.command.Env = append(r.command.Env, variables...)
 	r.command.Stdout, r.command.Stderr = r.logFile, r.logFile
 	if err := r.command.Start(); err != nil {
 		return err
--- a/review/lab/unheardpurge.go
+++ b/review/lab/unheardpurge.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	first, err := on.newRouter("n1", routerConfig(discovery, smallSettings(1)))
+	first, err := on.newRouter(routerConfig(discovery, smallSettings()))
 	if err != nil {
 		return err
 	}
