Review case 8: small writes at once take a router of 32 MB over its memory

Cause: the records of open requests have no share of the memory; their number is bounded by connections and 32 requests on each, whatever the memory is.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # if it held and with 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../bin/review-lab ] && [ -x ../../bin/fennelarch ] || exit 2
-exec ../../bin/review-lab slow-page ../.. record.txt
+exec ../../bin/review-lab open-requests ../.. record.txt
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -29,6 +29,7 @@
 	"replacement":   runReplacement,
 	"silent-watch":  runSilentWatch,
 	"slow-page":     runSlowPage,
+	"open-requests": runOpenRequests,
 }
 
 func main() {
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -42,9 +42,13 @@
 	mu      sync.Mutex
 	servers map[string]*cacheServer
 	fetches []*fetch
+	padding string // of the bytes of each object
 }
 
-func newFleet(s *stage) *fleet { return &fleet{stage: s, servers: map[string]*cacheServer{}} }
+func newFleet(s *stage) *fleet {
+	const usualBytes = 2000
+	return &fleet{stage: s, servers: map[string]*cacheServer{}, padding: strings.Repeat("x", usualBytes)}
+}
 
 // cacheServer is a stand-in for a cache server, a parent or the origin.
 type cacheServer struct {
@@ -193,7 +197,7 @@
 func (c *cacheServer) obtain(received *fetch) (found objectCopy, how string, err error) {
 	nowMS := time.Now().UnixMilli()
 	if c.model == "origin" {
-		return objectCopy{body: objectBody(received.key, nowMS), bornMS: nowMS}, "local", nil
+		return objectCopy{body: objectHead(received.key, nowMS) + c.fleet.padding, bornMS: nowMS}, "local", nil
 	}
 	c.mu.Lock()
 	kept, isKept := c.copies[received.key]
@@ -225,9 +229,9 @@
 
 var errNotHeld = fmt.Errorf("the object is not held")
 
-// objectBody returns the bytes of an object that left the origin at a time.
-func objectBody(key objectKey, bornMS int64) string {
-	return fmt.Sprintf("object %s part %s born %d ", key.id, key.part, bornMS) + strings.Repeat("x", 2000)
+// objectHead returns the first bytes of an object that left the origin at a time.
+func objectHead(key objectKey, bornMS int64) string {
+	return fmt.Sprintf("object %s part %s born %d ", key.id, key.part, bornMS)
 }
 
 // dropOlder drops all copies that left the origin before a time.
--- a/review/lab/stage.go
+++ b/review/lab/stage.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -229,6 +230,18 @@
 	return string(text[max(0, len(text)-most):])
 }
 
+// memoryKB returns the memory of the router's own process, without files, in KB.
+func (r *router) memoryKB() int {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.command.Process.Pid))
+	for line := range strings.Lines(string(text)) {
+		if rest, found := strings.CutPrefix(line, "RssAnon:"); found {
+			kilobytes, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return kilobytes
+		}
+	}
+	return 0
+}
+
 // copyLog adds the router's log to the record.
 func (r *router) copyLog() {
 	file, err := os.Open(r.configPath + ".log")
